--- /dev/null
+++ b/src/settings/Settings.cpp
@@ -0,0 +1,254 @@
+#include "settings/Settings.h"
+
+#include <cstdlib>
+#include <set>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+extern char** environ;
+
+// ---- Who and where ---------------------------------------------------------------------------------
+DEFINE_string(name, "", "name of this daemon, unique in the fleet");
+DEFINE_string(instance_id, "", "the platform's identifier of this instance; the name if empty");
+DEFINE_string(data_center, "", "data centre of this instance");
+DEFINE_string(client_listen, "0.0.0.0:8080", "IP:PORT for callers");
+DEFINE_string(peer_listen, "0.0.0.0:8081", "IP:PORT for other daemons; others connect to this address");
+DEFINE_string(admin_listen, "127.0.0.1:8082", "IP:PORT for operators, probes and counters");
+DEFINE_string(platform, "", "IP:PORT list of the platform's key-value service, separated by commas");
+DEFINE_string(peers, "", "IP:PORT list of daemons to ask at start if the platform does not answer");
+DEFINE_string(
+    fleet_secret, "", "secret shared by all daemons, at least 16 bytes; better given by environment variable");
+DEFINE_string(admin_token_digest, "", "SHA-256 of the operators' token in hexadecimal; empty: no token is asked for");
+DEFINE_int32(traffic_threads, 1, "threads that serve callers");
+DEFINE_string(log_level, "info", "lowest level of events to log: debug, info, warning or error");
+// ---- Requests --------------------------------------------------------------------------------------
+DEFINE_int32(request_deadline_ms, 60000, "time for a request that names no deadline");
+DEFINE_int32(max_deadline_ms, 600000, "longest deadline that a caller may ask for");
+DEFINE_int32(first_token_timeout_ms, 10000, "silence of an endpoint before the first byte of its answer");
+DEFINE_int32(stream_timeout_ms, 5000, "silence of an endpoint in the middle of its answer");
+DEFINE_int32(connect_timeout_ms, 1000, "time to connect to an endpoint");
+DEFINE_int32(retry_budget_percent, 10, "repeats of requests for each hundred requests");
+DEFINE_int32(max_queued, 2000, "requests that wait for a replica, for each traffic thread");
+DEFINE_int32(max_connections, 20000, "connections of callers, for each traffic thread");
+DEFINE_int32(max_body_bytes, 1048576, "longest body of a request");
+DEFINE_int32(max_output_tokens, 32768, "most output tokens that a request may ask for");
+// ---- Fleet -----------------------------------------------------------------------------------------
+DEFINE_int32(session_seconds, 10, "time to live of the daemon's lease in the key-value service");
+DEFINE_int32(freshness_limit_ms, 2500, "age of configuration up to which requests with keys are served");
+DEFINE_int32(head_check_ms, 500, "time between two checks for newer configuration");
+DEFINE_int32(relays_per_data_center, 2, "daemons of each data centre that watch the key-value service for the others");
+DEFINE_int32(budget_slots, 4, "homes over which each account's rate is divided; the same on all daemons");
+DEFINE_int32(token_validity_ms, 100, "time for which borrowed tokens may be used; the same on all daemons");
+DEFINE_int32(share_term_seconds, 1800, "time for which a budget home may lend without the key-value service");
+DEFINE_int32(store_loads, 4, "loads of models at once from the weight store");
+DEFINE_int32(adapter_loads, 30, "loads of adapters at once");
+DEFINE_int32(drain_ms, 2000, "time between not being ready and the end of accepting, at a stop");
+DEFINE_int32(stop_seconds, 120, "time for requests to end, at a stop");
+
+namespace rattanshunt::settings {
+
+namespace {
+
+    constexpr size_t minSecretBytes = 16;
+    constexpr size_t digestDigits = 64;
+    constexpr std::string_view variablePrefix = "RATTANSHUNT_";
+    // Not shown in reports of faults.
+    const std::set<std::string> secretFlags = { "fleet_secret" };
+
+    bool isOwnFlag(const gflags::CommandLineFlagInfo& flag)
+    {
+        return flag.filename.find("settings/Settings.cpp") != std::string::npos;
+    }
+
+    std::string variableName(const std::string& flag)
+    {
+        std::string name(variablePrefix);
+        for (char c : flag)
+            name += c >= 'a' && c <= 'z' ? static_cast<char>(c - 32) : c;
+        return name;
+    }
+
+    class Checker {
+    public:
+        Checker(std::vector<SettingFault>& faults)
+            : m_faults(faults)
+        {
+        }
+
+        void fault(const std::string& flag, const std::string& value, const std::string& allowed)
+        {
+            m_faults.push_back({ flag, secretFlags.contains(flag) ? "(hidden)" : value, allowed });
+        }
+
+        template <typename Number> Number number(const char* flag, int value, int least, int most)
+        {
+            if (value < least || value > most)
+                fault(flag, std::to_string(value), fmt::format("a whole number from {} to {}", least, most));
+            return Number(value);
+        }
+
+        std::string name(const char* flag, const std::string& value)
+        {
+            if (!base::isResourceName(value))
+                fault(flag, value, "1 to 63 characters of a-z, 0-9, '-', '_' and '.'");
+            return value;
+        }
+
+        base::Address address(const char* flag, const std::string& value)
+        {
+            auto address = base::parseAddress(value);
+            if (!address)
+                fault(flag, value, "IP:PORT with an IP number");
+            return address.value_or(base::Address {});
+        }
+
+        std::vector<base::Address> addresses(const char* flag, const std::string& value, bool mayBeEmpty)
+        {
+            std::vector<base::Address> list;
+            for (const std::string& part : base::splitText(value, ',')) {
+                auto address = base::parseAddress(part);
+                if (address)
+                    list.push_back(*address);
+                else
+                    fault(flag, part, "IP:PORT with an IP number, several separated by commas");
+            }
+            if (list.empty() && !mayBeEmpty)
+                fault(flag, value, "at least one IP:PORT");
+            return list;
+        }
+
+        base::LogLevel logLevel(const std::string& value)
+        {
+            if (value == "debug")
+                return base::LogLevel::Debug;
+            if (value == "warning")
+                return base::LogLevel::Warning;
+            if (value == "error")
+                return base::LogLevel::Error;
+            if (value != "info")
+                fault("log_level", value, "debug, info, warning or error");
+            return base::LogLevel::Info;
+        }
+
+    private:
+        std::vector<SettingFault>& m_faults;
+    };
+
+    void checkIdentity(Checker& check, Settings& settings)
+    {
+        settings.name = check.name("name", FLAGS_name);
+        settings.instanceId = FLAGS_instance_id.empty() ? FLAGS_name : FLAGS_instance_id;
+        settings.dataCenter = check.name("data_center", FLAGS_data_center);
+        settings.clientListen = check.address("client_listen", FLAGS_client_listen);
+        settings.peerListen = check.address("peer_listen", FLAGS_peer_listen);
+        settings.adminListen = check.address("admin_listen", FLAGS_admin_listen);
+        settings.platform = check.addresses("platform", FLAGS_platform, false);
+        settings.peers = check.addresses("peers", FLAGS_peers, true);
+        settings.fleetSecret = FLAGS_fleet_secret;
+        if (settings.fleetSecret.size() < minSecretBytes)
+            check.fault("fleet_secret", "", fmt::format("at least {} bytes", minSecretBytes));
+        settings.adminTokenDigest = FLAGS_admin_token_digest;
+        bool isDigest = settings.adminTokenDigest.size() == digestDigits
+            && settings.adminTokenDigest.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (!settings.adminTokenDigest.empty() && !isDigest)
+            check.fault(
+                "admin_token_digest", FLAGS_admin_token_digest, "64 hexadecimal digits in lower case, or empty");
+        settings.trafficThreads = check.number<size_t>("traffic_threads", FLAGS_traffic_threads, 1, 64);
+        settings.logLevel = check.logLevel(FLAGS_log_level);
+    }
+
+    void checkRequests(Checker& check, Settings& settings)
+    {
+        using base::Millis;
+        constexpr int maxMillis = 3600000;
+        settings.requestDeadline = check.number<Millis>("request_deadline_ms", FLAGS_request_deadline_ms, 1, maxMillis);
+        settings.maxDeadline = check.number<Millis>("max_deadline_ms", FLAGS_max_deadline_ms, 1, maxMillis);
+        settings.firstTokenTimeout
+            = check.number<Millis>("first_token_timeout_ms", FLAGS_first_token_timeout_ms, 10, maxMillis);
+        settings.streamTimeout = check.number<Millis>("stream_timeout_ms", FLAGS_stream_timeout_ms, 10, maxMillis);
+        settings.connectTimeout = check.number<Millis>("connect_timeout_ms", FLAGS_connect_timeout_ms, 10, 60000);
+        settings.retryBudgetPercent = check.number<size_t>("retry_budget_percent", FLAGS_retry_budget_percent, 0, 100);
+        settings.maxQueued = check.number<size_t>("max_queued", FLAGS_max_queued, 1, 1000000);
+        settings.maxConnections = check.number<size_t>("max_connections", FLAGS_max_connections, 1, 1000000);
+        settings.maxBodyBytes = check.number<size_t>("max_body_bytes", FLAGS_max_body_bytes, 1024, 64 * 1024 * 1024);
+        settings.maxOutputTokens = check.number<size_t>("max_output_tokens", FLAGS_max_output_tokens, 1, 1000000);
+        if (settings.requestDeadline > settings.maxDeadline)
+            check.fault("request_deadline_ms", std::to_string(FLAGS_request_deadline_ms), "at most max_deadline_ms");
+    }
+
+    void checkFleet(Checker& check, Settings& settings)
+    {
+        using base::Millis;
+        using base::Seconds;
+        settings.sessionTime = check.number<Seconds>("session_seconds", FLAGS_session_seconds, 1, 3600);
+        settings.freshnessLimit = check.number<Millis>("freshness_limit_ms", FLAGS_freshness_limit_ms, 100, 600000);
+        settings.headCheckInterval = check.number<Millis>("head_check_ms", FLAGS_head_check_ms, 50, 60000);
+        settings.relaysPerDataCenter
+            = check.number<size_t>("relays_per_data_center", FLAGS_relays_per_data_center, 1, 16);
+        settings.budgetSlots = check.number<size_t>("budget_slots", FLAGS_budget_slots, 1, 32);
+        settings.tokenValidity = check.number<Millis>("token_validity_ms", FLAGS_token_validity_ms, 10, 10000);
+        settings.shareTerm = check.number<Seconds>("share_term_seconds", FLAGS_share_term_seconds, 1, 86400);
+        settings.storeLoads = check.number<size_t>("store_loads", FLAGS_store_loads, 1, 1000);
+        settings.adapterLoads = check.number<size_t>("adapter_loads", FLAGS_adapter_loads, 1, 10000);
+        settings.drainTime = check.number<Millis>("drain_ms", FLAGS_drain_ms, 0, 600000);
+        settings.stopTime = check.number<Seconds>("stop_seconds", FLAGS_stop_seconds, 1, 86400);
+        if (settings.headCheckInterval * 2 > settings.freshnessLimit)
+            check.fault("head_check_ms", std::to_string(FLAGS_head_check_ms), "at most half of freshness_limit_ms");
+    }
+
+} // namespace
+
+std::vector<SettingFault> settingsFromEnvironment()
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    std::set<std::string> variables;
+    std::vector<SettingFault> faults;
+    for (const gflags::CommandLineFlagInfo& flag : flags) {
+        if (!isOwnFlag(flag))
+            continue;
+        std::string variable = variableName(flag.name);
+        variables.insert(variable);
+        const char* value = std::getenv(variable.c_str());
+        if (value && gflags::SetCommandLineOption(flag.name.c_str(), value).empty())
+            faults.push_back({ variable, value, fmt::format("a value of type {}", flag.type) });
+    }
+    for (char** variable = environ; *variable; ++variable) {
+        std::string_view text = *variable;
+        std::string name(text.substr(0, text.find('=')));
+        if (name.starts_with(variablePrefix) && !variables.contains(name))
+            faults.push_back({ name, "", "a variable that names a setting" });
+    }
+    return faults;
+}
+
+Settings settingsCheck(std::vector<SettingFault>& faults)
+{
+    Settings settings;
+    Checker check(faults);
+    checkIdentity(check, settings);
+    checkRequests(check, settings);
+    checkFleet(check, settings);
+    return settings;
+}
+
+std::string settingFaultText(const SettingFault& fault)
+{
+    return fmt::format("setting {}: \"{}\" is not allowed; allowed: {}", fault.flag, fault.value, fault.allowed);
+}
+
+std::string settingsTable()
+{
+    std::vector<gflags::CommandLineFlagInfo> flags;
+    gflags::GetAllFlags(&flags);
+    std::string table = "| flag | environment variable | default | meaning |\n| --- | --- | --- | --- |\n";
+    for (const gflags::CommandLineFlagInfo& flag : flags) {
+        if (isOwnFlag(flag))
+            table += fmt::format(
+                "| --{} | {} | {} | {} |\n", flag.name, variableName(flag.name), flag.default_value, flag.description);
+    }
+    return table;
+}
+
+} // namespace rattanshunt::settings
--- /dev/null
+++ b/src/settings/Settings.h
@@ -0,0 +1,72 @@
+// Settings of the product: flags, environment variables, checks.
+//
+// Each setting is a gflags flag and, as RATTANSHUNT_<FLAG> in upper case, an environment variable; the flag goes
+// first. settingsCheck() reports all faults at once. docs/OPERATING.md has the table, made by `rattanshunt settings`.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/Log.h"
+#include "base/Text.h"
+#include "base/Time.h"
+
+namespace rattanshunt::settings {
+
+struct Settings {
+    std::string name;       // of this daemon, unique in the fleet
+    std::string instanceId; // the platform's identifier of this instance
+    std::string dataCenter;
+    base::Address clientListen;
+    base::Address peerListen;
+    base::Address adminListen;
+    std::vector<base::Address> platform; // key-value service and instance list
+    std::vector<base::Address> peers;    // asked at start if the platform does not answer
+    std::string fleetSecret;             // daemons prove to each other that they hold it
+    std::string adminTokenDigest;        // SHA-256 of the operators' token, hexadecimal; empty: no token needed
+    size_t trafficThreads = 1;
+    base::LogLevel logLevel = base::LogLevel::Info;
+
+    base::Millis requestDeadline { 60000 };   // for a request that names none
+    base::Millis maxDeadline { 600000 };      // longest that a caller may ask for
+    base::Millis firstTokenTimeout { 10000 }; // silence of an endpoint before its first byte
+    base::Millis streamTimeout { 5000 };      // silence of an endpoint in the middle of a stream
+    base::Millis connectTimeout { 1000 };     //
+    size_t retryBudgetPercent = 10;           // repeats for each hundred requests
+    size_t maxQueued = 2000;                  // requests that wait for a replica, for each traffic thread
+    size_t maxConnections = 20000;            // of callers, for each traffic thread
+    size_t maxBodyBytes = 1024 * 1024;
+    size_t maxOutputTokens = 32768; // that a request may ask for
+
+    base::Seconds sessionTime { 10 };       // of the lease in the KV
+    base::Millis freshnessLimit { 2500 };   // age of knowledge on which keyed requests are served
+    base::Millis headCheckInterval { 500 }; // between two looks at the KV's revision (relays)
+    size_t relaysPerDataCenter = 2;
+    size_t budgetSlots = 4;
+    base::Millis tokenValidity { 100 };
+    base::Seconds shareTerm { 1800 };
+    size_t storeLoads = 4;
+    size_t adapterLoads = 30;
+    base::Millis drainTime { 2000 }; // between "not ready" and the end of accepting, at a stop
+    base::Seconds stopTime { 120 };  // for requests to end, at a stop
+};
+
+struct SettingFault {
+    std::string flag;
+    std::string value;
+    std::string allowed;
+};
+
+// Copies RATTANSHUNT_* variables into flags that were not set yet; call before parsing the command line.
+// Gives variables of that prefix that name no flag.
+std::vector<SettingFault> settingsFromEnvironment();
+
+// Reads the flags. All faults are appended to `faults`.
+Settings settingsCheck(std::vector<SettingFault>& faults);
+
+std::string settingFaultText(const SettingFault&);
+
+// A Markdown table of all settings, for docs/OPERATING.md.
+std::string settingsTable();
+
+} // namespace rattanshunt::settings
