--- a/lab/EngineStandIn.cpp
+++ b/lab/EngineStandIn.cpp
@@ -64,6 +64,7 @@
     std::set<std::string> cached;
     bool sawKey = false;
     bool isStopped = false;
+    bool isCrashed = false;
     // Faults
     int silentAfter = -1;
     int cutAfter = -1;
@@ -77,6 +78,10 @@
             || request.body.find("rsk_") != std::string::npos)
             sawKey = true;
         json body = request.body.empty() ? json::object() : json::parse(request.body, nullptr, false);
+        if (isCrashed) {
+            exchange.startStream(500, {});
+            return;
+        }
         if (request.target == "/v1/completions")
             complete(exchange, body);
         else if (request.target == "/orders")
@@ -220,7 +225,7 @@
         net::Event wake;
         uint64_t number = ++lastNumber;
         queue.push_back({ priority, number, &wake });
-        while (!isGone) {
+        while (!isGone && !isCrashed) {
             wake.reset();
             auto best = std::max_element(queue.begin(), queue.end(), [](const Slot& a, const Slot& b) {
                 return a.priority != b.priority ? a.priority < b.priority : a.number > b.number;
@@ -230,7 +235,7 @@
             wake.waitUntil(base::Clock::now() + base::Millis(50));
         }
         std::erase_if(queue, [&](const Slot& slot) { return slot.number == number; });
-        if (isGone)
+        if (isGone || isCrashed)
             return false;
         startRunning();
         return true;
@@ -296,12 +301,12 @@
         if (!exchange.startStream(200, answerHeaders("text/event-stream")))
             return;
         base::TimePoint next = base::Clock::now();
-        for (size_t i = from; i < count && !isGone; ++i) {
+        for (size_t i = from; i < count && !isGone && !isCrashed; ++i) {
             next += options.tokenTime;
             if (options.tokenTime.count())
                 net::sleepUntil(next);
             if (silentAfter >= 0 && static_cast<int>(i) >= silentAfter) {
-                while (!isGone && silentAfter >= 0)
+                while (!isGone && silentAfter >= 0 && !isCrashed)
                     net::sleepFor(base::Millis(20));
                 return;
             }
@@ -314,7 +319,7 @@
             if (!exchange.sendChunk("data: " + event.dump() + "\n\n"))
                 return;
         }
-        if (isGone)
+        if (isGone || isCrashed)
             return;
         json last = { { "id", id }, { "choices", json::array() },
             { "usage",
@@ -328,6 +333,10 @@
     {
         if (options.tokenTime.count())
             net::sleepFor(options.tokenTime * count);
+        if (isCrashed) {
+            exchange.startStream(500, {});
+            return;
+        }
         std::string text;
         for (size_t i = 0; i < count; ++i)
             text += answerToken(prompt, i);
@@ -367,6 +376,12 @@
     return m_impl->server.has_value();
 }
 
+void EngineStandIn::crash()
+{
+    m_impl->isCrashed = true;
+    stop();
+}
+
 void EngineStandIn::stop()
 {
     m_impl->isStopped = true;
--- a/lab/EngineStandIn.h
+++ b/lab/EngineStandIn.h
@@ -38,6 +38,9 @@
     bool listen(base::Address& address, std::string& error);
     void stop();
 
+    // Ends at once: answers under way are cut, nothing is accepted any more.
+    void crash();
+
 private:
     struct Impl;
     std::shared_ptr<Impl> m_impl;
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -2,6 +2,7 @@
 #include <csignal>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
@@ -9,6 +10,7 @@
 #include "EngineStandIn.h"
 #include "Load.h"
 #include "PlatformStandIn.h"
+#include "Scenario.h"
 #include "ServiceStandIn.h"
 #include "base/Log.h"
 #include "platform/InstanceList.h"
@@ -33,6 +35,9 @@
 DEFINE_double(seconds, 5, "duration, for load");
 DEFINE_int32(concurrency, 0, "requests under way at once, for load; 0: open loop at --rate");
 DEFINE_int64(seed, 1, "seed of random choices");
+DEFINE_string(files, "", "scenario files, separated by commas");
+DEFINE_bool(trace, false, "print what a scenario did even if it passed");
+DEFINE_string(log, "warning", "lowest level of events to log: debug, info, warning or error");
 DEFINE_bool(json, false, "print JSON");
 
 namespace {
@@ -144,8 +149,34 @@
     return 0;
 }
 
+// Runs scenario files and prints what happened.
+int runScenarios(net::Loop& loop)
+{
+    int passed = 0;
+    int failed = 0;
+    for (const std::string& name : base::splitText(FLAGS_files, ',')) {
+        std::ifstream file(name);
+        std::stringstream text;
+        text << file.rdbuf();
+        lab::ScenarioScript script = lab::scenarioParse(text.str());
+        if (!file)
+            script.faults.push_back("the file cannot be read");
+        lab::ScenarioResult result = lab::scenarioRun(loop, script);
+        ++(result.isPassed ? passed : failed);
+        std::cout << (result.isPassed ? "passed " : "FAILED ") << name << std::endl;
+        if (!result.isPassed || FLAGS_trace) {
+            for (const std::string& line : result.trace)
+                std::cout << "  " << line << "\n";
+        }
+        for (const std::string& failure : result.failures)
+            std::cout << "  " << failure << std::endl;
+    }
+    std::cout << passed << " passed, " << failed << " failed\n";
+    return failed ? 1 : 0;
+}
+
 constexpr const char* usageText
-    = "rattanshunt-lab platform | engine | service | load [flags]; --help lists the flags\n";
+    = "rattanshunt-lab platform | engine | service | load | scenario [flags]; --help lists the flags\n";
 
 } // namespace
 
@@ -154,14 +185,18 @@
     gflags::SetUsageMessage(usageText);
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string command = argc > 1 ? argv[1] : "";
-    std::map<std::string, int (*)(net::Loop&)> commands
-        = { { "platform", runPlatform }, { "engine", runEngine }, { "service", runService }, { "load", runLoad } };
+    std::map<std::string, int (*)(net::Loop&)> commands = { { "platform", runPlatform }, { "engine", runEngine },
+        { "service", runService }, { "load", runLoad }, { "scenario", runScenarios } };
     auto found = commands.find(command);
     if (found == commands.end()) {
         std::cerr << usageText;
         return exitUsage;
     }
-    base::logSetup("rattanshunt-lab", base::LogLevel::Warning);
+    base::logSetup("rattanshunt-lab",
+        FLAGS_log == "info"        ? base::LogLevel::Info
+            : FLAGS_log == "debug" ? base::LogLevel::Debug
+            : FLAGS_log == "error" ? base::LogLevel::Error
+                                   : base::LogLevel::Warning);
     net::Loop loop;
     int code = 1;
     loop.run([&] {
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -84,7 +84,9 @@
     if (level < s_threshold)
         return;
     auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    std::string line = fmt::format("time={:%FT%T}Z ", now) + logLine(level, event, fields);
+    auto millis = now.time_since_epoch().count() % 1000;
+    auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
+    std::string line = fmt::format("time={:%FT%T}.{:03}Z ", seconds, millis) + logLine(level, event, fields);
     LOG(INFO) << line;
 }
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -274,6 +274,16 @@
         m_impl->server->stopAccepting();
 }
 
+void Entry::abort()
+{
+    stopAccepting();
+    if (m_impl->server)
+        m_impl->server->closeAll();
+    auto calling = m_impl->thread.calling;
+    for (net::HttpConnection* connection : calling)
+        connection->cancel();
+}
+
 size_t Entry::requestsUnderWay() const
 {
     return m_impl->thread.underWay;
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -33,6 +33,9 @@
     bool listen(base::Address& address, std::string& error);
 
     void stopAccepting();
+
+    // Cuts all connections to callers and endpoints.
+    void abort();
     size_t requestsUnderWay() const;
     size_t connectionCount() const;
 
--- a/src/entry/Replicas.cpp
+++ b/src/entry/Replicas.cpp
@@ -16,7 +16,7 @@
         return std::chrono::duration_cast<base::Micros>(time.time_since_epoch()).count();
     }
 
-    routing::Candidate candidateOf(const resources::EndpointInfo& endpoint, const std::string& dataCenter)
+    routing::Candidate candidateOf(const resources::EndpointInfo& endpoint, const std::string& dataCenter, int64_t now)
     {
         routing::Candidate candidate;
         candidate.endpoint = endpoint.id;
@@ -24,6 +24,7 @@
         candidate.reported = endpoint.load->reported.load(std::memory_order_relaxed);
         candidate.ownNow = endpoint.load->ownInFlight.load(std::memory_order_relaxed);
         candidate.ownThen = endpoint.load->ownAtReport.load(std::memory_order_relaxed);
+        candidate.reportAge = base::Micros(now - endpoint.load->reportedAt.load(std::memory_order_relaxed));
         candidate.isAway = endpoint.dataCenter != dataCenter;
         return candidate;
     }
@@ -49,7 +50,7 @@
         bool isResting = endpoint.load->failedUntil.load(std::memory_order_relaxed) > now;
         if (isResting || ask.avoided.contains(endpoint.id))
             continue;
-        candidates.push_back(candidateOf(endpoint, m_backbone.settings.dataCenter));
+        candidates.push_back(candidateOf(endpoint, m_backbone.settings.dataCenter, now));
         endpoints.push_back(&endpoint);
     }
     auto chosen = routing::candidateChoose(candidates, ask.prefix, draw, m_options);
@@ -85,10 +86,8 @@
     routing::QueueItem item { id, ask.account, ask.weight, ask.value, ask.tokens, ask.deadline };
     if (routing::queueWouldMiss(queue.queue, item, serviceRate(queue, base::Clock::now()), base::Clock::now()))
         return { Reason::DeadlineTooShort, {}, false, {} };
-    if (queue.queue.items.empty()) {
-        queue.busySince = base::Clock::now();
-        queue.tokensSinceBusy = 0;
-    }
+    if (queue.queue.items.empty())
+        queue.servingSince = {};
     ++m_waiting;
     routing::queuePush(queue.queue, item);
     ReplicaGrant grant = wait(ask, id);
@@ -144,9 +143,10 @@
 // Only while requests wait does the rate of service show what the replicas can do.
 double Replicas::serviceRate(const ModelQueue& queue, base::TimePoint now)
 {
-    if (queue.queue.items.empty() || now - queue.busySince < rateBasis)
+    bool isKnown = queue.servingSince != base::TimePoint {} && now - queue.servingSince >= rateBasis;
+    if (queue.queue.items.empty() || !isKnown)
         return 0;
-    return queue.tokensSinceBusy / base::secondsOf(now - queue.busySince);
+    return queue.tokensServed / base::secondsOf(now - queue.servingSince);
 }
 
 void Replicas::wakeFront(ModelQueue& queue)
@@ -163,7 +163,11 @@
 {
     endpoint.load->ownInFlight.fetch_sub(1, std::memory_order_relaxed);
     ModelQueue& queue = m_queues[model];
-    queue.tokensSinceBusy += tokens;
+    if (queue.servingSince == base::TimePoint {}) {
+        queue.servingSince = base::Clock::now();
+        queue.tokensServed = 0;
+    }
+    queue.tokensServed += tokens;
     wakeFront(queue);
 }
 
--- a/src/entry/Replicas.h
+++ b/src/entry/Replicas.h
@@ -54,8 +54,8 @@
     struct ModelQueue {
         routing::FairQueue queue;
         std::map<uint64_t, net::Event*> waiters;
-        base::TimePoint busySince {}; // since when requests have waited without a break
-        double tokensSinceBusy = 0;   // served since then
+        base::TimePoint servingSince {}; // first end of a request since requests have waited without a break
+        double tokensServed = 0; // since then
         base::TimePoint usedReportedAt {};
     };
 
--- a/src/entry/RequestState.h
+++ b/src/entry/RequestState.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,10 +27,27 @@
     IntakeLimits limits;
     double retryTokens = 10; // repeats that may be made now
     size_t underWay = 0;
+    std::set<net::HttpConnection*> calling; // connections to endpoints with a call under way
 
     ThreadState(net::Loop&, Backbone&);
 };
 
+// Notes a connection as calling while it lives.
+struct CallingGuard {
+    CallingGuard(ThreadState& state, net::HttpConnection* called)
+        : thread(state)
+        , connection(called)
+    {
+        thread.calling.insert(connection);
+    }
+    ~CallingGuard() { thread.calling.erase(connection); }
+    CallingGuard(const CallingGuard&) = delete;
+    CallingGuard& operator=(const CallingGuard&) = delete;
+
+    ThreadState& thread;
+    net::HttpConnection* connection;
+};
+
 struct RequestState {
     net::HttpExchange& exchange;
     std::string id;
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -50,6 +50,8 @@
         endpoint.load->reported.store(load->running + load->waiting, std::memory_order_relaxed);
         endpoint.load->ownAtReport.store(
             endpoint.load->ownInFlight.load(std::memory_order_relaxed), std::memory_order_relaxed);
+        endpoint.load->reportedAt.store(
+            std::chrono::duration_cast<base::Micros>(base::Clock::now().time_since_epoch()).count(), std::memory_order_relaxed);
         if (load->slots > 0)
             endpoint.load->slots.store(load->slots, std::memory_order_relaxed);
     }
@@ -233,7 +235,11 @@
         auto connection = thread.pool.take(grant.endpoint.address);
         request.sending = connection.get();
         double usedBefore = request.used;
-        AttemptResult result = attemptOn(thread, request, attempts, *connection, grant.endpoint);
+        AttemptResult result;
+        {
+            CallingGuard guard(thread, connection.get());
+            result = attemptOn(thread, request, attempts, *connection, grant.endpoint);
+        }
         request.sending = nullptr;
         thread.pool.keep(std::move(connection));
         thread.replicas.release(attempts.completion.model, grant.endpoint, request.used - usedBefore);
--- a/src/entry/ServeRoute.cpp
+++ b/src/entry/ServeRoute.cpp
@@ -48,6 +48,7 @@
         // A call that may not be repeated goes on without its caller, so that its outcome can be stored.
         if (route.isRepeatable)
             request.sending = connection.get();
+        auto guard = std::make_unique<CallingGuard>(thread, connection.get());
         net::HttpCallError error = net::HttpCallError::None;
         if (!connection->isConnected())
             error = connection->connect(
@@ -63,6 +64,7 @@
         while (error == net::HttpCallError::None && !isEnd)
             error = connection->readSome(response.body, isEnd, request.deadline);
         request.sending = nullptr;
+        guard.reset();
         if (!isSent)
             return CallResult::NotRun;
         if (error != net::HttpCallError::None)
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -354,6 +354,19 @@
 
     // ---- Start -----------------------------------------------------------------------------------
 
+    // The platform's list as it is now, so that a daemon that says "ready" knows the endpoints.
+    void readListOnce()
+    {
+        for (const base::Address& address : options.platform) {
+            auto connection = net::HttpConnection::create(loop, address);
+            auto changes = platform::instanceListRead(*connection, mirror.listVersion, base::Clock::now() + listInterval);
+            if (!changes.isKnown)
+                continue;
+            change([&] { mirrorApplyList(mirror, changes.changed, changes.version); });
+            return;
+        }
+    }
+
     void learnAtStart()
     {
         while (!isStopped && !isStopAsked && !mirror.revision) {
@@ -429,6 +442,7 @@
 bool Fleet::join()
 {
     m_impl->learnAtStart();
+    m_impl->readListOnce();
     m_impl->startLoops();
     while (!m_impl->isStopped && !m_impl->isStopAsked && !m_impl->writeSession()) {
         // Without the KV the daemon serves on what its peers know, and becomes a member later.
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -82,6 +82,7 @@
 struct HttpServerHandle {
     base::Address address;                   // as bound; the port is known even if 0 was asked for
     std::function<void()> stopAccepting;     // idle connections close; running exchanges go on. Own thread.
+    std::function<void()> closeAll;          // cuts every connection, also those with an exchange. Own thread.
     std::function<size_t()> connectionCount; // own thread
 };
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -29,7 +29,7 @@
         Tcp::acceptor acceptor;
         bool isStopping = false;
         size_t connections = 0;
-        std::map<uint64_t, std::function<void()>> closeIfIdle; // by connection number
+        std::map<uint64_t, std::function<void(bool evenIfBusy)>> closers; // by connection number
         uint64_t lastConnection = 0;
     };
 
@@ -41,15 +41,19 @@
             , m_number(++m_server->lastConnection)
         {
             ++m_server->connections;
-            m_server->closeIfIdle[m_number] = [this] {
-                if (m_isIdle)
-                    closeNow();
+            m_server->closers[m_number] = [this](bool evenIfBusy) {
+                if (!m_isIdle && !evenIfBusy)
+                    return;
+                m_isBroken = m_isBroken || !m_isIdle;
+                closeNow();
+                if (m_onGone)
+                    callGone();
             };
         }
 
         ~Connection() override
         {
-            m_server->closeIfIdle.erase(m_number);
+            m_server->closers.erase(m_number);
             --m_server->connections;
         }
 
@@ -361,8 +365,12 @@
         server->isStopping = true;
         ErrorCode ignored;
         server->acceptor.close(ignored);
-        for (auto& [number, close] : server->closeIfIdle)
-            close();
+        for (auto& [number, close] : server->closers)
+            close(false);
+    };
+    handle.closeAll = [server] {
+        for (auto& [number, close] : server->closers)
+            close(true);
     };
     handle.connectionCount = [server] { return server->connections; };
     return handle;
--- a/src/routing/Choice.cpp
+++ b/src/routing/Choice.cpp
@@ -1,6 +1,7 @@
 #include "routing/Choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/Text.h"
 
@@ -8,8 +9,9 @@
 
 double candidateLoad(const Candidate& candidate, const ChoiceOptions& options)
 {
-    double sinceReport = candidate.ownNow - candidate.ownThen;
-    double requests = std::max(candidate.reported + sinceReport, candidate.ownNow);
+    double others = std::max(candidate.reported - candidate.ownThen, 0.0);
+    double halvings = base::secondsOf(candidate.reportAge) / base::secondsOf(options.reportHalfLife);
+    double requests = candidate.ownNow + others * std::exp2(-halvings);
     double load = requests / std::max(candidate.slots, 1.0);
     return candidate.isAway ? load + options.awayPenalty : load;
 }
