--- a/src/admin/ResourceApi.cpp
+++ b/src/admin/ResourceApi.cpp
@@ -266,7 +266,7 @@
 {
     std::string key = resources::resourceKvKey("key", name);
     constexpr int attempts = 7200;
-    for (int attempt = 0; attempt < attempts; ++attempt) {
+    for (int attempt = 0; attempt < attempts && !m_fleet.isStopped(); ++attempt) {
         net::sleepFor(withdrawPause);
         auto record = m_fleet.mirror().records.find(key);
         if (record == m_fleet.mirror().records.end())
--- a/src/endpoints/EngineOrders.cpp
+++ b/src/endpoints/EngineOrders.cpp
@@ -6,8 +6,13 @@
 
 using nlohmann::json;
 
-OrderOutcome engineOrderSend(net::HttpConnection& connection, const EngineOrder& order, base::TimePoint deadline)
+OrderOutcome engineOrderSend(
+    net::HttpConnection& connection, const EngineOrder& order, const std::string& boot, base::TimePoint deadline)
 {
+    auto state = engineStateRead(connection, deadline);
+    // httpCall() would open another connection, perhaps to another process.
+    if (!state || state->report.boot != boot || !connection.isReusable())
+        return OrderOutcome::NotSent;
     json body = { { "action", order.action == OrderAction::Load ? "load" : "unload" }, { "model", order.model },
         { "bytes", order.bytes }, { "order", order.order }, { "fencing", order.fencing } };
     if (!order.base.empty())
--- a/src/endpoints/EngineOrders.h
+++ b/src/endpoints/EngineOrders.h
@@ -29,7 +29,10 @@
     Unknown, // sent; it may be carried out at any later time
 };
 
-OrderOutcome engineOrderSend(net::HttpConnection&, const EngineOrder&, base::TimePoint deadline);
+// Sends an order that only the start `boot` of the engine can receive: the same connection first reads the engine's
+// boot, and a connection ends with its process. NotSent if the engine has started anew.
+OrderOutcome engineOrderSend(
+    net::HttpConnection&, const EngineOrder&, const std::string& boot, base::TimePoint deadline);
 
 struct EngineState {
     placement::EndpointReport report;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -9,7 +9,10 @@
 using base::LogLevel;
 
 namespace {
-    constexpr double retryReserve = 10; // repeats that may come at once
+    constexpr double retryReserve = 10;   // repeats that may come at once
+    constexpr double serviceMargin = 1.5; // times the usual service time that is kept free before a deadline
+    constexpr double serviceMemory = 0.1; // weight of the latest request in the usual service time
+    constexpr base::Millis leastServiceTime { 10 };
 }
 
 ThreadState::ThreadState(net::Loop& ownLoop, Backbone& ownBackbone)
@@ -24,6 +27,26 @@
     limits.maxDeadline = backbone.settings.maxDeadline;
 }
 
+base::TimePoint latestStart(const ServiceTimes& times, const std::string& model, double tokens,
+    base::TimePoint arrivedAt, base::TimePoint deadline)
+{
+    auto found = times.secondsPerToken.find(model);
+    double needed = found == times.secondsPerToken.end() ? 0 : found->second * tokens * serviceMargin;
+    base::Duration margin = std::max<base::Duration>(base::durationOf(needed), leastServiceTime);
+    // However slow the model was, half of the time is left for waiting.
+    return deadline - std::min<base::Duration>(margin, (deadline - arrivedAt) / 2);
+}
+
+void serviceTimeNote(ServiceTimes& times, const std::string& model, double tokens, base::Duration took)
+{
+    if (tokens < 1)
+        return;
+    double sample = base::secondsOf(took) / tokens;
+    auto [found, isNew] = times.secondsPerToken.emplace(model, sample);
+    if (!isNew)
+        found->second += (sample - found->second) * serviceMemory;
+}
+
 Reason lastCheck(ThreadState& thread, const RequestState& request)
 {
     if (request.isCallerGone)
@@ -53,7 +76,7 @@
     if (request.account.empty() || tokens <= 0)
         return {};
     Wallet::Result result
-        = thread.wallet.acquire(request.account, tokens, value, request.arrivedAt, request.deadline, request.grants);
+        = thread.wallet.acquire(request.account, tokens, value, request.arrivedAt, request.startBy, request.grants);
     request.reserved = tokens;
     switch (result) {
     case Wallet::Result::Granted:
@@ -105,7 +128,7 @@
         const net::HttpRequest& message = request.exchange.request();
         std::string_view path = targetPath(message.target);
         if (path == "/healthz" || path == "/readyz")
-            return answerProbe(request, path == "/healthz" || thread.backbone.isReady());
+            return answerProbe(request, path == "/healthz" || isReady());
         if (!isPlainTarget(message.target))
             return { Reason::MalformedRequest, "target: must be a plain path" };
         if (!thread.backbone.isReady() && !thread.backbone.isDraining())
@@ -115,6 +138,7 @@
             return { Reason::MalformedRequest,
                 "X-Deadline-Ms: must be a whole number of milliseconds within the limit" };
         request.deadline = request.arrivedAt + deadline.time;
+        request.startBy = request.deadline;
         request.exchange.watchCaller([&request] {
             request.isCallerGone = true;
             if (request.sending)
@@ -123,6 +147,9 @@
         return path.starts_with("/v1/") ? serveModels(request, path) : serveServices(request, path);
     }
 
+    // An instance that is cut off would refuse all keys: the balancer should use others.
+    bool isReady() const { return thread.backbone.isReady() && thread.backbone.mayServeKeys(base::Clock::now()); }
+
     RequestEnd serveModels(RequestState& request, std::string_view path)
     {
         const net::HttpRequest& message = request.exchange.request();
@@ -144,6 +171,7 @@
             return { Reason::UnknownRoute, std::string(path) };
         request.subject = route->name;
         request.deadline = std::min<base::TimePoint>(request.deadline, request.arrivedAt + route->timeout);
+        request.startBy = request.deadline;
         Reason reason = route->isOpen ? Reason::None : checkKey(request);
         if (reason != Reason::None)
             return { reason, "" };
--- a/src/entry/Replicas.h
+++ b/src/entry/Replicas.h
@@ -55,7 +55,7 @@
         routing::FairQueue queue;
         std::map<uint64_t, net::Event*> waiters;
         base::TimePoint servingSince {}; // first end of a request since requests have waited without a break
-        double tokensServed = 0; // since then
+        double tokensServed = 0;         // since then
         base::TimePoint usedReportedAt {};
     };
 
--- a/src/entry/RequestState.h
+++ b/src/entry/RequestState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -17,6 +18,16 @@
 
 namespace rattanshunt::entry {
 
+// How long one token takes, by model, smoothed over recent requests. Own thread only.
+struct ServiceTimes {
+    std::map<std::string, double> secondsPerToken;
+};
+
+// The latest time at which a request may start so that it is likely to end by its deadline.
+base::TimePoint latestStart(
+    const ServiceTimes&, const std::string& model, double tokens, base::TimePoint arrivedAt, base::TimePoint deadline);
+void serviceTimeNote(ServiceTimes&, const std::string& model, double tokens, base::Duration took);
+
 // What one traffic thread owns.
 struct ThreadState {
     net::Loop& loop;
@@ -28,6 +39,7 @@
     double retryTokens = 10; // repeats that may be made now
     size_t underWay = 0;
     std::set<net::HttpConnection*> calling; // connections to endpoints with a call under way
+    ServiceTimes serviceTimes;
 
     ThreadState(net::Loop&, Backbone&);
 };
@@ -53,7 +65,8 @@
     std::string id;
     base::TimePoint arrivedAt {};
     base::TimePoint deadline {};
-    std::string keyDigest; // empty on open routes
+    base::TimePoint startBy {}; // tokens and a replica must be had by then
+    std::string keyDigest;      // empty on open routes
     std::string account;
     std::string subject; // model, adapter or route
     std::vector<budget::Grant> grants;
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -51,7 +51,8 @@
         endpoint.load->ownAtReport.store(
             endpoint.load->ownInFlight.load(std::memory_order_relaxed), std::memory_order_relaxed);
         endpoint.load->reportedAt.store(
-            std::chrono::duration_cast<base::Micros>(base::Clock::now().time_since_epoch()).count(), std::memory_order_relaxed);
+            std::chrono::duration_cast<base::Micros>(base::Clock::now().time_since_epoch()).count(),
+            std::memory_order_relaxed);
         if (load->slots > 0)
             endpoint.load->slots.store(load->slots, std::memory_order_relaxed);
     }
@@ -209,7 +210,7 @@
         ask.tokens = std::max(request.reserved - request.used, 1.0);
         ask.prefix = routing::prefixHash(attempts.completion.prompt, {});
         ask.arrivedAt = request.arrivedAt;
-        ask.deadline = request.deadline;
+        ask.deadline = request.startBy;
         ask.avoided = attempts.avoided;
         ask.isCancelled = &request.isCallerGone;
         return ask;
@@ -235,12 +236,16 @@
         auto connection = thread.pool.take(grant.endpoint.address);
         request.sending = connection.get();
         double usedBefore = request.used;
+        base::TimePoint sentAt = base::Clock::now();
         AttemptResult result;
         {
             CallingGuard guard(thread, connection.get());
             result = attemptOn(thread, request, attempts, *connection, grant.endpoint);
         }
         request.sending = nullptr;
+        if (result == AttemptResult::Whole)
+            serviceTimeNote(thread.serviceTimes, request.subject, request.used - attempts.promptTokens,
+                base::Clock::now() - sentAt);
         thread.pool.keep(std::move(connection));
         thread.replicas.release(attempts.completion.model, grant.endpoint, request.used - usedBefore);
         if (result != AttemptResult::Whole && result != AttemptResult::CallerGone)
@@ -310,6 +315,8 @@
     auto account = catalog->accounts.find(request.account);
     double weight = account == catalog->accounts.end() ? 1 : account->second.weight;
     double tokens = attempts.promptTokens + static_cast<double>(attempts.completion.maxTokens);
+    request.startBy = latestStart(thread.serviceTimes, request.subject,
+        static_cast<double>(attempts.completion.maxTokens), request.arrivedAt, request.deadline);
     RequestEnd reserved = reserveTokens(thread, request, tokens, attempts.value);
     if (reserved.reason != Reason::None)
         return reserved;
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -359,7 +359,8 @@
     {
         for (const base::Address& address : options.platform) {
             auto connection = net::HttpConnection::create(loop, address);
-            auto changes = platform::instanceListRead(*connection, mirror.listVersion, base::Clock::now() + listInterval);
+            auto changes
+                = platform::instanceListRead(*connection, mirror.listVersion, base::Clock::now() + listInterval);
             if (!changes.isKnown)
                 continue;
             change([&] { mirrorApplyList(mirror, changes.changed, changes.version); });
@@ -558,6 +559,10 @@
 {
     return m_impl->options;
 }
+bool Fleet::isStopped() const
+{
+    return m_impl->isStopped;
+}
 bool Fleet::isRelay() const
 {
     return m_impl->isWatching;
--- a/src/fleet/Fleet.h
+++ b/src/fleet/Fleet.h
@@ -87,6 +87,7 @@
     std::optional<Session> sessionNamed(const std::string& name) const;
     bool isMember() const; // the mirror holds this start's session
     bool isRelay() const;
+    bool isStopped() const;
     Freshness freshness(base::TimePoint now) const;
     base::TimePoint serveUntil(base::TimePoint now) const; // until when keyed requests may be served on what is known
 
--- a/src/placement/PlacementService.cpp
+++ b/src/placement/PlacementService.cpp
@@ -57,6 +57,7 @@
         std::map<std::string, base::TimePoint> sentAt; // when orders were last sent
         int slots = 8;
         double idleSeconds = 0;
+        std::string reportedBoot; // as the endpoint last said; empty: not known yet
     };
 
     fleet::Fleet& fleet;
@@ -68,6 +69,7 @@
 
     // As owner
     bool isOwner = false;
+    uint64_t generation = 0; // of what was read from the KV; work begun before a new reading is void
     int64_t epoch = 0;
     Revision ownerRevision = 0;
     int64_t lastFencing = 0;
@@ -326,6 +328,7 @@
         platform::KvRangeResult ledgers = fleet.kv().range(std::string(ledgerPrefix));
         if (models.error != KvError::None || ledgers.error != KvError::None)
             return false;
+        ++generation;
         PlannerOptions options = planner.options;
         planner = {};
         planner.options = options;
@@ -403,9 +406,9 @@
         endpoint.memoryBytes = instance.memoryBytes;
         endpoint.isLive = instance.state == platform::InstanceState::Live;
         endpoint.isGone = instance.state == platform::InstanceState::Gone;
-        if (endpoint.boot.empty())
-            endpoint.boot = instance.boot;
         EndpointWork& entry = work[instance.id];
+        // Only the endpoint itself says which start it is: the list lags and may name an older or a newer one.
+        endpoint.boot = entry.reportedBoot;
         entry.address = instance.address;
         entry.checksFencing = instance.checksFencing;
     }
@@ -482,8 +485,9 @@
     void carryOut(const Change& change, const ModelRecord& record, const Ledger& ledger, const std::string& orderId,
         int64_t fencing, const std::vector<Place>& formerPlaces)
     {
+        uint64_t begunIn = generation;
         bool isWritten = writeRecords(change.model, record, &change.endpoint, &ledger);
-        if (!isOwner)
+        if (!isOwner || generation != begunIn)
             return;
         PlannerModel& model = planner.models[change.model];
         PlannerEndpoint& endpoint = planner.endpoints[change.endpoint];
@@ -496,10 +500,10 @@
             entry.nextPoll = {};
             if (change.kind == ChangeKind::Load) {
                 planner.servedBytes[model.waitingAccount] += static_cast<double>(model.bytes);
-                sendOrder(change.endpoint,
+                sendOrder(change.endpoint, bootOf(record, change, orderId),
                     { endpoints::OrderAction::Load, change.model, model.base, model.bytes, orderId, fencing });
             } else if (change.kind == ChangeKind::Unload) {
-                sendOrder(change.endpoint,
+                sendOrder(change.endpoint, bootOf(record, change, change.order),
                     { endpoints::OrderAction::Unload, change.model, model.base, model.bytes, change.order, fencing });
             }
         }
@@ -523,8 +527,11 @@
             compares.push_back({ ledgerKvKey(*endpoint), ledgerRevisions[*endpoint] });
             writes.push_back({ ledgerKvKey(*endpoint), ledgerToText(*ledger) });
         }
+        uint64_t begunIn = generation;
         platform::KvTxnResult result = fleet.kv().txn(compares, writes);
-        if (result.error == KvError::NotDone)
+        // The records were read again meanwhile: their revisions must not be mixed with those of this write. If it took
+        // effect after that reading, the next write's comparison fails and everything is read once more.
+        if (generation != begunIn || result.error == KvError::NotDone)
             return false;
         if (result.error == KvError::Unknown || !result.isApplied)
             return resynchronise();
@@ -547,14 +554,14 @@
 
     // ---- Endpoints -------------------------------------------------------------------------------
 
-    void sendOrder(const std::string& endpointId, const endpoints::EngineOrder& order)
+    void sendOrder(const std::string& endpointId, const std::string& boot, const endpoints::EngineOrder& order)
     {
         EndpointWork& entry = work[endpointId];
         entry.sentAt[order.order + (order.action == endpoints::OrderAction::Load ? "" : "/unload")]
             = base::Clock::now();
         auto connection = net::HttpConnection::create(fleet.loop(), entry.address);
         endpoints::OrderOutcome outcome
-            = endpoints::engineOrderSend(*connection, order, base::Clock::now() + engineTimeout);
+            = endpoints::engineOrderSend(*connection, order, boot, base::Clock::now() + engineTimeout);
         if (outcome != endpoints::OrderOutcome::Accepted)
             base::logEvent(LogLevel::Warning, "placement.order_failed",
                 { { "endpoint", endpointId }, { "model", order.model }, { "outcome", static_cast<int>(outcome) } });
@@ -562,6 +569,16 @@
             work[endpointId].sentAt.erase(order.order);
     }
 
+    // The start of the endpoint that a place was decided for.
+    static std::string bootOf(const ModelRecord& record, const Change& change, const std::string& order)
+    {
+        for (const Place& place : record.places) {
+            if (place.endpoint == change.endpoint && place.order == order)
+                return place.boot;
+        }
+        return {};
+    }
+
     bool hasOpenWork(const std::string& endpointId) const
     {
         for (auto& [name, model] : planner.models) {
@@ -616,7 +633,7 @@
     void takeState(const std::string& id, const endpoints::EngineState& state)
     {
         PlannerEndpoint& endpoint = planner.endpoints[id];
-        endpoint.boot = state.report.boot;
+        endpoint.boot = work[id].reportedBoot = state.report.boot;
         endpoint.cached = state.cached;
         work[id].slots = std::max(state.slots, 1);
         work[id].idleSeconds = state.accelerationIdleSeconds;
@@ -669,7 +686,9 @@
         const PlannerModel& model = planner.models[name];
         endpoints::EngineOrder order { isUnload ? endpoints::OrderAction::Unload : endpoints::OrderAction::Load, name,
             model.base, model.bytes, place.order, isUnload ? ++lastFencing : place.fencing };
-        fleet.loop().spawn([self = shared_from_this(), id = place.endpoint, order] { self->sendOrder(id, order); });
+        fleet.loop().spawn([self = shared_from_this(), id = place.endpoint, boot = place.boot, order] {
+            self->sendOrder(id, boot, order);
+        });
     }
 
     void markReady(const std::string& name, const Place& loaded)
@@ -682,7 +701,10 @@
         }
         model.isBusy = true;
         fleet.loop().spawn([self = shared_from_this(), name, record, order = loaded.order] {
+            uint64_t begunIn = self->generation;
             bool isWritten = self->writeRecords(name, record, nullptr, nullptr);
+            if (self->generation != begunIn)
+                return;
             PlannerModel& written = self->planner.models[name];
             written.isBusy = false;
             if (!isWritten)
--- a/src/placement/Planner.cpp
+++ b/src/placement/Planner.cpp
@@ -89,7 +89,8 @@
 
     bool mayHost(const Planner& planner, const PlannerModel& model, const PlannerEndpoint& endpoint)
     {
-        if (!endpoint.isLive || endpoint.isBusy || endpoint.pool != model.pool || hasPlaceOn(model, endpoint.id))
+        if (endpoint.boot.empty() || !endpoint.isLive || endpoint.isBusy || endpoint.pool != model.pool
+            || hasPlaceOn(model, endpoint.id))
             return false;
         if (!isAdapter(model))
             return true;
@@ -216,7 +217,7 @@
                     continue;
                 if (endpoint == planner.endpoints.end())
                     continue;
-                if (endpoint->second.isGone || endpoint->second.boot != place.boot)
+                if (endpoint->second.isGone || (!endpoint->second.boot.empty() && endpoint->second.boot != place.boot))
                     return Change { ChangeKind::Forget, name, place.endpoint, place.order, "endpoint_restarted" };
             }
         }
--- a/src/placement/Planner.h
+++ b/src/placement/Planner.h
@@ -61,7 +61,7 @@
 struct PlannerEndpoint {
     std::string id;
     std::string pool;
-    std::string boot;
+    std::string boot; // as the endpoint itself last said; empty: not known, so nothing is concluded from it
     int64_t memoryBytes = 0;
     bool isLive = true;  // false: leaving or gone; it gets nothing new
     bool isGone = false; // the platform says that it has ended
--- a/src/resources/Catalog.h
+++ b/src/resources/Catalog.h
@@ -22,7 +22,7 @@
     std::atomic<int> ownInFlight { 0 };     // requests of this daemon
     std::atomic<int> reported { 0 };        // running and waiting, as last reported
     std::atomic<int> ownAtReport { 0 };     // ownInFlight when the report came
-    std::atomic<int64_t> reportedAt { 0 };           // steady microseconds
+    std::atomic<int64_t> reportedAt { 0 };  // steady microseconds
     std::atomic<int> slots { 8 };           // requests that it batches, as last reported
     std::atomic<int64_t> failedUntil { 0 }; // steady microseconds; avoided until then after a failed connection
 };
--- /dev/null
+++ b/tests/FleetTests.cpp
@@ -0,0 +1,201 @@
+// Membership, the mirror's growth, freshness, frames between daemons.
+#include "Support.h"
+#include "fleet/Members.h"
+#include "fleet/Mirror.h"
+#include "net/PeerFrames.h"
+
+using namespace rattanshunt;
+using namespace rattanshunt::fleet;
+using platform::KvEntry;
+using platform::KvEvent;
+using tests::at;
+
+namespace {
+
+KvEvent put(const std::string& key, const std::string& value, Revision revision)
+{
+    return { false, { key, value, revision, revision, 0 } };
+}
+
+Session session(
+    const std::string& name, const std::string& center, uint16_t port, const std::string& incarnation = "i1")
+{
+    return { name, incarnation, { "127.0.0.1", port }, { "127.0.0.1", 1 }, center, SessionState::Ready };
+}
+
+} // namespace
+
+Test(mirror, older_changes_are_dropped)
+{
+    Mirror mirror;
+    mirrorApplyEvents(mirror, { put("/rs/a", "new", 10) }, 0);
+    mirrorApplyEvents(mirror, { put("/rs/a", "old", 9) }, 0);
+    cr_assert_str_eq(mirror.records["/rs/a"].value.c_str(), "new");
+    cr_assert_eq(mirror.revision, 10);
+    mirrorApplySnapshot(mirror, { { "/rs/a", "older", 3, 3, 0 } }, 8);
+    cr_assert_str_eq(mirror.records["/rs/a"].value.c_str(), "new");
+}
+
+Test(mirror, all_changes_of_one_transaction_are_taken)
+{
+    Mirror mirror;
+    mirrorApplyEvents(mirror, { put("/rs/a", "1", 5), put("/rs/b", "2", 5) }, 0);
+    cr_assert_eq(mirror.records.size(), 2);
+}
+
+Test(mirror, a_peer_brings_another_up_to_date_by_changes_or_by_snapshot)
+{
+    Mirror source;
+    for (Revision revision = 1; revision <= 10; ++revision)
+        mirrorApplyEvents(
+            source, { put(fmt::format("/rs/k{}", revision % 3), fmt::format("v{}", revision), revision) }, 0);
+    source.freshAsOf = at(100);
+    Mirror behind;
+    mirrorApplyEvents(behind, { put("/rs/k1", "v1", 1) }, 0);
+    cr_assert(mirrorMerge(behind, mirrorDelta(source, behind.revision, 0, at(150)), at(200)));
+    cr_assert_eq(behind.revision, 10);
+    cr_assert_str_eq(behind.records["/rs/k1"].value.c_str(), "v10");
+    cr_assert(behind.freshAsOf == at(150));
+    source.history.clear();
+    source.historyFrom = 10;
+    Mirror fresh;
+    nlohmann::json delta = mirrorDelta(source, 0, 0, at(300));
+    cr_assert(delta.contains("snapshot"));
+    cr_assert(mirrorMerge(fresh, delta, at(300)));
+    cr_assert_eq(fresh.records.size(), 3);
+    cr_assert(!mirrorMerge(fresh, nlohmann::json::array(), at(300)));
+}
+
+Test(mirror, a_late_answer_of_a_peer_takes_nobody_back)
+{
+    Mirror old;
+    mirrorApplyEvents(old, { put("/rs/key", "valid", 5) }, 0);
+    nlohmann::json late = mirrorDelta(old, 0, 0, at(0));
+    Mirror mirror = old;
+    mirrorApplyEvents(mirror, { put("/rs/key", "withdrawn", 6) }, 0);
+    mirrorMerge(mirror, late, at(100));
+    cr_assert_str_eq(mirror.records["/rs/key"].value.c_str(), "withdrawn");
+    Mirror careless = mirror;
+    mirrorMerge(careless, late, at(100), { false });
+    cr_assert_str_eq(careless.records["/rs/key"].value.c_str(), "valid", "the safeguard is what prevents it");
+}
+
+Test(mirror, the_head_counts_from_the_sending_of_the_question)
+{
+    Mirror mirror;
+    mirrorApplyEvents(mirror, { put("/rs/a", "1", 5) }, 0);
+    mirrorNoteHead(mirror, 6, at(100));
+    cr_assert(mirror.freshAsOf == base::TimePoint {});
+    mirrorNoteHead(mirror, 5, at(100));
+    cr_assert(mirror.freshAsOf == at(100));
+}
+
+Test(mirror, withdrawals_travel_and_only_grow)
+{
+    Mirror source;
+    mirrorWithdrawKey(source, "k1");
+    Mirror other;
+    mirrorMerge(other, mirrorDelta(source, 0, 0, at(0)), at(0));
+    cr_assert(other.withdrawnKeys.contains("k1"));
+    Mirror empty;
+    mirrorMerge(other, mirrorDelta(empty, 0, 0, at(0)), at(0));
+    cr_assert(other.withdrawnKeys.contains("k1"));
+}
+
+Test(freshness, both_sides_of_a_partition_decide_differently)
+{
+    base::Millis limit(2500);
+    cr_assert(freshnessDecide({ at(0), 5, 1 }, at(2000), limit) == Freshness::Fresh);
+    // The KV is down for all: who hears three of five goes on, who hears two refuses.
+    cr_assert(freshnessDecide({ at(0), 5, 3 }, at(9000), limit) == Freshness::Outage);
+    cr_assert(freshnessDecide({ at(0), 5, 2 }, at(9000), limit) == Freshness::CutOff);
+    // Of an even number half is not enough: the other half may have accepted a withdrawal.
+    cr_assert(freshnessDecide({ at(0), 4, 2 }, at(9000), limit) == Freshness::CutOff);
+    cr_assert(freshnessDecide({ {}, 1, 1 }, at(9000), limit) == Freshness::Outage);
+}
+
+Test(members, two_daemons_with_one_name)
+{
+    Session mine = session("d1", "dc-1", 100, "i2");
+    cr_assert(sessionConflict(mine, std::nullopt) == SessionConflict::None);
+    cr_assert(sessionConflict(mine, session("d1", "dc-1", 100, "i1")) == SessionConflict::Replace);
+    cr_assert(sessionConflict(mine, session("d1", "dc-1", 200, "i1")) == SessionConflict::NameInUse);
+    cr_assert(sessionConflict(mine, mine) == SessionConflict::None);
+}
+
+Test(members, ownership_moves_little_and_prefers_the_data_centre)
+{
+    std::vector<Session> sessions;
+    for (uint16_t i = 0; i < 12; ++i)
+        sessions.push_back(session(fmt::format("d{}", i), i % 2 ? "dc-1" : "dc-2", i));
+    std::vector<Session> fewer(sessions.begin(), sessions.end() - 1);
+    int moved = 0;
+    for (int thing = 0; thing < 300; ++thing) {
+        std::string name = fmt::format("thing-{}", thing);
+        std::string before = ownersRank(sessions, name).front().name;
+        moved += before != "d11" && before != ownersRank(fewer, name).front().name;
+        cr_assert_str_eq(ownersRank(sessions, name, "dc-1").front().dataCenter.c_str(), "dc-1");
+    }
+    cr_assert_eq(moved, 0);
+    sessions[0].state = SessionState::Leaving;
+    for (const Session& owner : ownersRank(sessions, "x"))
+        cr_assert(owner.name != "d0");
+    cr_assert_eq(relaysOf(sessions, "dc-1", 2).size(), 2);
+}
+
+Test(members, records_survive_their_encoding)
+{
+    Session mine = session("d1", "dc-1", 100);
+    mine.state = SessionState::Leaving;
+    auto read = sessionFromText(sessionToText(mine));
+    cr_assert(read && read->peerAddress == mine.peerAddress && read->state == SessionState::Leaving);
+    cr_assert(!sessionFromText("{\"name\":1}"));
+    cr_assert(!sessionFromText("nonsense"));
+}
+
+Test(frames, only_holders_of_the_secret_understand_each_other)
+{
+    net::PeerHandshake handshake { "d1", std::string(16, 'a'), "d2", std::string(16, 'b') };
+    net::PeerCipher caller("secret-secret-16", handshake, net::PeerSide::Caller);
+    net::PeerCipher listener("secret-secret-16", handshake, net::PeerSide::Listener);
+    net::PeerCipher stranger("another-secret-16", handshake, net::PeerSide::Caller);
+    auto payload = [](const std::string& frame) { return frame.substr(net::peerLengthBytes); };
+    auto opened = listener.open(payload(caller.seal({ { "x", 1 } })));
+    cr_assert(opened && (*opened)["x"] == 1);
+    cr_assert(!listener.open(payload(stranger.seal({ { "x", 1 } }))));
+    cr_assert(
+        net::peerProof("a", handshake, net::PeerSide::Caller) != net::peerProof("b", handshake, net::PeerSide::Caller));
+    cr_assert(net::peerProof("a", handshake, net::PeerSide::Caller)
+        != net::peerProof("a", handshake, net::PeerSide::Listener));
+}
+
+Test(frames, repeated_reordered_changed_and_reflected_frames_are_refused)
+{
+    net::PeerHandshake handshake { "d1", std::string(16, 'a'), "d2", std::string(16, 'b') };
+    net::PeerCipher caller("secret-secret-16", handshake, net::PeerSide::Caller);
+    net::PeerCipher listener("secret-secret-16", handshake, net::PeerSide::Listener);
+    std::string first = caller.seal({ { "n", 1 } }).substr(net::peerLengthBytes);
+    std::string second = caller.seal({ { "n", 2 } }).substr(net::peerLengthBytes);
+    cr_assert(!listener.open(second), "out of order");
+    cr_assert(listener.open(first));
+    cr_assert(!listener.open(first), "repeated");
+    std::string changed = second;
+    changed[0] = static_cast<char>(changed[0] ^ 1);
+    cr_assert(!listener.open(changed));
+    cr_assert(!caller.open(second), "reflected to its sender");
+    cr_assert(listener.open(second));
+    cr_assert(!listener.open("short"));
+}
+
+Test(frames, random_bytes_never_open)
+{
+    net::PeerHandshake handshake { "d1", std::string(16, 'a'), "d2", std::string(16, 'b') };
+    net::PeerCipher listener("secret-secret-16", handshake, net::PeerSide::Listener);
+    std::mt19937_64 random(7);
+    for (int i = 0; i < 2000; ++i) {
+        std::string bytes(random() % 200, '\0');
+        for (char& c : bytes)
+            c = static_cast<char>(random());
+        cr_assert(!listener.open(bytes));
+    }
+}
