--- a/lab/EngineStandIn.cpp
+++ b/lab/EngineStandIn.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "base/Text.h"
--- a/lab/LabFleet.cpp
+++ b/lab/LabFleet.cpp
@@ -132,7 +132,8 @@
 bool LabFleet::knowsEndpoints(const std::string& daemon)
 {
     json state = json::parse(admin(daemon, "GET", "/api/v1/state").body, nullptr, false);
-    return state.is_object() && state.value("instances_listed", size_t { 0 }) >= m_plan.engines.size() + m_plan.services.size();
+    return state.is_object()
+        && state.value("instances_listed", size_t { 0 }) >= m_plan.engines.size() + m_plan.services.size();
 }
 
 settings::Settings LabFleet::daemonSettings(const std::string& name, size_t number) const
--- a/lab/Load.cpp
+++ b/lab/Load.cpp
@@ -2,6 +2,8 @@
 
 #include <random>
 
+#include <fmt/format.h>
+
 #include "EngineStandIn.h"
 #include "base/Text.h"
 #include "endpoints/EngineStream.h"
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -160,7 +160,7 @@
         text << file.rdbuf();
         lab::ScenarioScript script = lab::scenarioParse(text.str());
         if (!file)
-            script.faults.push_back("the file cannot be read");
+            script.faults.emplace_back("the file cannot be read");
         lab::ScenarioResult result = lab::scenarioRun(loop, script);
         ++(result.isPassed ? passed : failed);
         std::cout << (result.isPassed ? "passed " : "FAILED ") << name << std::endl;
--- a/src/budget/Borrower.cpp
+++ b/src/budget/Borrower.cpp
@@ -2,6 +2,8 @@
 
 #include <bit>
 
+#include <fmt/format.h>
+
 namespace rattanshunt::budget {
 
 namespace {
--- a/src/budget/Home.cpp
+++ b/src/budget/Home.cpp
@@ -1,5 +1,7 @@
 #include "budget/Home.h"
 
+#include <fmt/format.h>
+
 namespace rattanshunt::budget {
 
 using nlohmann::json;
--- a/src/entry/Intake.cpp
+++ b/src/entry/Intake.cpp
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <cmath>
 
+#include <fmt/format.h>
+
 #include "base/Text.h"
 
 namespace rattanshunt::entry {
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -1,5 +1,7 @@
 #include "fleet/Members.h"
 
+#include <fmt/format.h>
+
 namespace rattanshunt::fleet {
 
 using nlohmann::json;
--- a/src/fleet/Mirror.cpp
+++ b/src/fleet/Mirror.cpp
@@ -57,6 +57,7 @@
     std::vector<KvEvent> eventsFromJson(const json& list)
     {
         std::vector<KvEvent> events;
+        events.reserve(list.size());
         for (const json& item : list) {
             KvEvent event;
             event.isDelete = item.at(0).get<bool>();
@@ -72,6 +73,7 @@
     std::vector<KvEntry> entriesOf(std::vector<KvEvent> events)
     {
         std::vector<KvEntry> entries;
+        entries.reserve(events.size());
         for (KvEvent& event : events)
             entries.push_back(std::move(event.entry));
         return entries;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <fmt/format.h>
 
 #include "net/Http.h"
 #include "net/Loop.h"
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -272,8 +272,8 @@
             if (message.version() == 11 && !message.count(http::field::host))
                 return "the Host header is missing";
             if (message[http::field::host].find_first_of(" \t,/@") != beast::string_view::npos)
-            return "the Host header is malformed";
-        if (message.count(http::field::content_length) && message.count(http::field::transfer_encoding))
+                return "the Host header is malformed";
+            if (message.count(http::field::content_length) && message.count(http::field::transfer_encoding))
                 return "Content-Length and Transfer-Encoding are both given";
             for (auto& field : message) {
                 if (!base::isValidUtf8({ field.value().data(), field.value().size() }))
--- a/src/once/Claims.cpp
+++ b/src/once/Claims.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "base/Text.h"
--- a/src/placement/Planner.cpp
+++ b/src/placement/Planner.cpp
@@ -157,11 +157,13 @@
     {
         const PlannerModel* oldest = nullptr;
         const Place* oldestPlace = nullptr;
-        for (auto& [id, endpoint] : planner.endpoints) {
+        for (auto& item : planner.endpoints) {
+            const PlannerEndpoint& endpoint = item.second;
             bool isFreeing = false;
             for (auto& [name, other] : planner.models)
-                isFreeing |= std::any_of(other.places.begin(), other.places.end(),
-                    [&](const Place& place) { return place.endpoint == id && place.state == PlaceState::Unloading; });
+                isFreeing |= std::any_of(other.places.begin(), other.places.end(), [&](const Place& place) {
+                    return place.endpoint == endpoint.id && place.state == PlaceState::Unloading;
+                });
             // Memory is on its way there already: wait for it instead of evicting more.
             if (isFreeing && mayHost(planner, model, endpoint))
                 return std::nullopt;
--- a/src/placement/Records.cpp
+++ b/src/placement/Records.cpp
@@ -1,5 +1,6 @@
 #include "placement/Records.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace rattanshunt::placement {
--- a/src/platform/InstanceList.cpp
+++ b/src/platform/InstanceList.cpp
@@ -1,5 +1,7 @@
 #include "platform/InstanceList.h"
 
+#include <fmt/format.h>
+
 #include "platform/KvCodec.h"
 
 namespace rattanshunt::platform {
--- a/src/reports/BurnReport.cpp
+++ b/src/reports/BurnReport.cpp
@@ -91,6 +91,7 @@
             }
         }
         std::vector<BurnRow> rows;
+        rows.reserve(sums.size());
         for (auto& [name, sum] : sums)
             rows.push_back(rowOf(name, sum, options));
         std::sort(rows.begin(), rows.end(), [](const BurnRow& a, const BurnRow& b) {
--- a/src/resources/Catalog.cpp
+++ b/src/resources/Catalog.cpp
@@ -1,5 +1,7 @@
 #include "resources/Catalog.h"
 
+#include <fmt/format.h>
+
 namespace rattanshunt::resources {
 
 using nlohmann::json;
--- a/src/resources/Resources.cpp
+++ b/src/resources/Resources.cpp
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <set>
 
+#include <fmt/format.h>
+
 #include "base/Text.h"
 
 namespace rattanshunt::resources {
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -5,8 +5,7 @@
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
-
-extern char** environ;
+#include <unistd.h>
 
 // ---- Who and where ---------------------------------------------------------------------------------
 DEFINE_string(name, "", "name of this daemon, unique in the fleet");
