--- a/lab/EngineStandIn.cpp
+++ b/lab/EngineStandIn.cpp
@@ -280,9 +280,9 @@
         removeIfUnused(model);
     }
 
-    std::vector<net::HttpHeader> answerHeaders(const std::string& type) const
+    std::vector<net::HttpHeader> answerHeaders(const std::string& type, const std::string& id) const
     {
-        return { { "Content-Type", type },
+        return { { "Content-Type", type }, { "X-Request-Id", id },
             { "X-Load", fmt::format("{},{},{}", running, queue.size(), options.slots) } };
     }
 
@@ -299,7 +299,7 @@
             generateWhole(exchange, id, prompt, count, promptTokens);
             return;
         }
-        if (!exchange.startStream(200, answerHeaders("text/event-stream")))
+        if (!exchange.startStream(200, answerHeaders("text/event-stream", id)))
             return;
         base::TimePoint next = base::Clock::now();
         for (size_t i = from; i < count && !isGone && !isCrashed; ++i) {
@@ -345,7 +345,7 @@
             { "choices", json::array({ { { "index", 0 }, { "text", text }, { "finish_reason", "length" } } }) },
             { "usage", { { "prompt_tokens", promptTokens }, { "completion_tokens", count } } } };
         net::HttpResponse response = jsonAnswer(answer);
-        response.headers = answerHeaders("application/json");
+        response.headers = answerHeaders("application/json", id);
         exchange.respond(std::move(response));
     }
 
--- a/lab/Load.cpp
+++ b/lab/Load.cpp
@@ -206,9 +206,15 @@
         if (kind.model.empty())
             tally.calls.push_back(id);
         constexpr base::Seconds grace { 2 };
-        Answer answer = exchange(*connection, requestOf(kind, id, prompt), start, start + kind.deadline + grace);
+        net::HttpRequest request = requestOf(kind, id, prompt);
+        Answer answer = exchange(*connection, request, start, start + kind.deadline + grace);
+        // As a balancer does: what could not be connected goes to the next instance.
+        for (size_t i = 1; i < shared->plan.targets.size() && answer.error == net::HttpCallError::ConnectFailed; ++i) {
+            connection = net::HttpConnection::create(shared->loop, shared->plan.targets[(number + i) % shared->plan.targets.size()]);
+            answer = exchange(*connection, request, start, start + kind.deadline + grace);
+        }
         noteAnswer(tally, kind, answer, id, prompt, start);
-        auto& list = shared->idle[base::formatAddress(target)];
+        auto& list = shared->idle[base::formatAddress(connection->address())];
         if (shared->plan.keepsConnections && list.size() < idleConnections && connection->isReusable())
             list.push_back(std::move(connection));
         shared->lastEnd = base::Clock::now();
@@ -246,7 +252,7 @@
             startOne(shared);
             next += base::durationOf(gap(shared->random));
         }
-        net::sleepUntil(std::min(next, end));
+        net::sleepPrecisely(std::min(next, end));
     }
     while (shared->underWay) {
         shared->wake.reset();
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -12,6 +12,7 @@
 #include "PlatformStandIn.h"
 #include "Scenario.h"
 #include "ServiceStandIn.h"
+#include "Verdict.h"
 #include "base/Log.h"
 #include "platform/InstanceList.h"
 
@@ -36,6 +37,11 @@
 DEFINE_int32(concurrency, 0, "requests under way at once, for load; 0: open loop at --rate");
 DEFINE_int64(seed, 1, "seed of random choices");
 DEFINE_string(files, "", "scenario files, separated by commas");
+DEFINE_string(load, "", "output of load --json, for verdict");
+DEFINE_string(engines, "", "file with a state of an engine in each line, for verdict");
+DEFINE_string(services, "", "file with the runs of a service in each line, for verdict");
+DEFINE_int32(withdrawn_status, 0, "HTTP status that a withdrawn key got, for verdict");
+DEFINE_int32(stop_exit, -1, "exit code of a daemon that stopped gracefully, for verdict");
 DEFINE_bool(trace, false, "print what a scenario did even if it passed");
 DEFINE_string(log, "warning", "lowest level of events to log: debug, info, warning or error");
 DEFINE_bool(json, false, "print JSON");
@@ -175,8 +181,43 @@
     return failed ? 1 : 0;
 }
 
+nlohmann::json readJson(const std::string& name)
+{
+    std::ifstream file(name);
+    nlohmann::json object = nlohmann::json::parse(file, nullptr, false);
+    if (object.is_discarded())
+        throw std::runtime_error(name + ": is not JSON");
+    return object;
+}
+
+std::vector<nlohmann::json> readJsonLines(const std::string& name)
+{
+    std::ifstream file(name);
+    std::vector<nlohmann::json> list;
+    std::string line;
+    while (std::getline(file, line)) {
+        nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
+        if (object.is_object())
+            list.push_back(std::move(object));
+    }
+    return list;
+}
+
+int runVerdict(net::Loop&)
+{
+    lab::VerdictInput input { readJson(FLAGS_load), readJsonLines(FLAGS_engines), readJsonLines(FLAGS_services),
+        FLAGS_withdrawn_status, FLAGS_stop_exit };
+    std::cout << "\n" << lab::outcomesTable(input.load) << "\n";
+    bool isGood = true;
+    for (const lab::VerdictLine& line : lab::verdict(input)) {
+        isGood = isGood && line.holds;
+        std::cout << (line.holds ? "holds   " : "BROKEN  ") << line.property << ": " << line.seen << "\n";
+    }
+    return isGood ? 0 : 1;
+}
+
 constexpr const char* usageText
-    = "rattanshunt-lab platform | engine | service | load | scenario [flags]; --help lists the flags\n";
+    = "rattanshunt-lab platform | engine | service | load | scenario | verdict [flags]; --help lists the flags\n";
 
 } // namespace
 
@@ -186,7 +227,7 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string command = argc > 1 ? argv[1] : "";
     std::map<std::string, int (*)(net::Loop&)> commands = { { "platform", runPlatform }, { "engine", runEngine },
-        { "service", runService }, { "load", runLoad }, { "scenario", runScenarios } };
+        { "service", runService }, { "load", runLoad }, { "scenario", runScenarios }, { "verdict", runVerdict } };
     auto found = commands.find(command);
     if (found == commands.end()) {
         std::cerr << usageText;
--- /dev/null
+++ b/scripts/common.sh
@@ -0,0 +1,45 @@
+# Helpers for scripts that start stand-ins and daemons on loopback. Sourced, not run.
+# Every process is started by us and ended by its id.
+
+dir=$(mktemp -d)
+declare -A pid_of
+
+stop_all() {
+    for name in "${!pid_of[@]}"; do kill -KILL "${pid_of[$name]}" 2>/dev/null || true; done
+    wait 2>/dev/null || true
+    rm -rf "$dir"
+}
+trap stop_all EXIT
+
+# start NAME PROGRAM ARGS...: starts a process whose output goes to $dir/NAME.
+start() {
+    local name=$1; shift
+    "$@" >"$dir/$name" 2>&1 &
+    pid_of[$name]=$!
+}
+
+# address NAME PATTERN: waits until NAME has said where it listens and prints IP:PORT.
+address() {
+    local line
+    for _ in $(seq 200); do
+        line=$(grep -m1 -oE "$2[0-9.]+:[0-9]+" "$dir/$1" 2>/dev/null | head -1) || true
+        if [ -n "$line" ]; then echo "${line##*[ =]}"; return; fi
+        sleep 0.05
+    done
+    echo "no address in the output of $1:" >&2
+    cat "$dir/$1" >&2
+    return 1
+}
+
+# wait_for NAME TEXT: waits until NAME has printed TEXT.
+wait_for() {
+    for _ in $(seq 400); do grep -q "$2" "$dir/$1" && return; sleep 0.05; done
+    echo "$1 did not say $2" >&2
+    return 1
+}
+
+# serve NAME CENTER PLATFORM: starts a daemon on free ports.
+serve() {
+    start "$1" "$bin/rattanshunt" serve --name "$1" --data_center "$2" --platform "$3" --client_listen 127.0.0.1:0 \
+        --peer_listen 127.0.0.1:0 --admin_listen 127.0.0.1:0 "${@:4}"
+}
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -144,6 +144,12 @@
     sleepUntil(base::Clock::now() + duration);
 }
 
+void sleepPrecisely(base::TimePoint when)
+{
+    boost::asio::steady_timer timer(Loop::current()->io(), when);
+    awaitIo([&](auto handler) { timer.async_wait([handler](ErrorCode error) mutable { handler(error, 0); }); });
+}
+
 void Event::set()
 {
     m_isSet = true;
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -102,6 +102,9 @@
 void sleepFor(base::Duration);
 void sleepUntil(base::TimePoint);
 
+// Like sleepUntil(), but with the system's resolution instead of the timer service's, at a higher cost.
+void sleepPrecisely(base::TimePoint);
+
 // A flag that one fiber waits for and that handlers or other fibers of the same loop set.
 class Event {
 public:
