Golden session, storms at both cities' sizes, capacity page, operators' pages

Change: a tap on HTTP and peer exchanges that is off unless a test sets it, rattanshunt-lab golden, tests/golden; storm scenarios; docs/CAPACITY.md, DESIGN.md, API.md, OPERATING.md (its settings table is compared with the flags in the tests), MEASUREMENTS.md, SCENARIOS.md, GLOSSARY.md, CONTRIBUTING.md, CHANGELOG.md; rattanshunt-lab bench capacity.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	nlohmann-json3-dev librapidcheck-dev
 BUILD ?= build
 
-.PHONY: packages build test demo format lint
+.PHONY: packages build test demo format lint golden
 
 packages:
 	@scripts/packages.sh $(PACKAGES)
@@ -24,3 +24,7 @@
 
 lint: build
 	scripts/lint.sh $(BUILD)
+
+# Writes the golden session anew, for review.
+golden: build
+	$(BUILD)/rattanshunt-lab golden >tests/golden/session.txt
--- a/lab/Bench.h
+++ b/lab/Bench.h
@@ -40,4 +40,7 @@
 // Spread of configuration: time until it is in force everywhere, calls of the KV.
 BenchTable benchConfig(uint64_t seed);
 
+// Costs of single steps at letter 1's size, for docs/CAPACITY.md. Real time.
+BenchTable benchCapacity(uint64_t seed);
+
 } // namespace rattanshunt::lab
--- /dev/null
+++ b/lab/BenchCapacity.cpp
@@ -0,0 +1,199 @@
+// Costs of single steps at letter 1's size, for docs/CAPACITY.md: measured on the real functions with the real amounts.
+#include <unistd.h>
+
+#include <fstream>
+
+#include <fmt/format.h>
+
+#include "Bench.h"
+#include "base/Text.h"
+#include "budget/Borrower.h"
+#include "fleet/Members.h"
+#include "net/PeerFrames.h"
+#include "once/Claims.h"
+#include "placement/Planner.h"
+#include "resources/Catalog.h"
+
+namespace rattanshunt::lab {
+
+using base::Clock;
+using nlohmann::json;
+
+namespace {
+
+    // Letter 1's size.
+    constexpr size_t daemons = 410;
+    constexpr size_t replicas = 3600;
+    constexpr size_t models = 1000;
+    constexpr size_t adapters = 2900;
+    constexpr size_t regions = 7;
+    constexpr size_t accounts = 300;
+    constexpr size_t keys = 1200;
+
+    double megabytesNow()
+    {
+        std::ifstream file("/proc/self/statm");
+        size_t total = 0;
+        size_t resident = 0;
+        file >> total >> resident;
+        return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+    }
+
+    // Seconds for one call of `step`, over at least 200 ms.
+    template <typename Step> double secondsEach(Step&& step)
+    {
+        size_t count = 0;
+        base::TimePoint start = Clock::now();
+        while (Clock::now() - start < base::Millis(200)) {
+            step();
+            ++count;
+        }
+        return base::secondsOf(Clock::now() - start) / static_cast<double>(count);
+    }
+
+    fleet::Mirror fullMirror()
+    {
+        fleet::Mirror mirror;
+        platform::Revision revision = 0;
+        auto put = [&](const std::string& key, const std::string& value) {
+            ++revision;
+            mirror.records[key] = { value, revision, revision };
+        };
+        for (size_t i = 0; i < models; ++i)
+            put(resources::resourceKvKey("model", fmt::format("model-{}", i)),
+                R"({"pool":"drafter","bytes":40000000000,"replicas":4,"idle_seconds":300})");
+        for (size_t i = 0; i < adapters; ++i)
+            put(resources::resourceKvKey("adapter", fmt::format("adapter-{}", i)),
+                fmt::format(R"({{"model":"model-{}","bytes":200000000}})", i % models));
+        for (size_t i = 0; i < accounts; ++i)
+            put(resources::resourceKvKey("account", fmt::format("account-{}", i)), R"({"rate":4000,"burst":16000})");
+        for (size_t i = 0; i < keys; ++i)
+            put(resources::resourceKvKey("key", fmt::format("key-{}", i)),
+                fmt::format(R"({{"account":"account-{}","digest":"{}"}})", i % accounts,
+                    base::hexEncode(base::sha256(std::to_string(i)))));
+        for (size_t i = 0; i < daemons; ++i) {
+            fleet::Session session { fmt::format("daemon-{}", i), base::randomId(), { "10.0.0.1", 8081 },
+                { "10.0.0.1", 8082 }, fmt::format("dc-{}", i % 17), fleet::SessionState::Ready };
+            put(fleet::sessionKvKey(session.name), fleet::sessionToText(session));
+        }
+        // 14% of models and adapters are awake.
+        for (size_t i = 0; i < (models + adapters) * 14 / 100; ++i) {
+            placement::ModelRecord record {
+                { { fmt::format("engine-{}", i), "boot", base::randomId(), 1, placement::PlaceState::Ready } },
+                base::randomId()
+            };
+            put(placement::modelKvKey(fmt::format("model-{}", i)), placement::modelRecordToText(record));
+        }
+        mirror.revision = revision;
+        std::vector<platform::Instance> list;
+        for (size_t i = 0; i < replicas; ++i)
+            list.push_back({ fmt::format("engine-{}", i), "drafter", { "10.0.0.1", 8000 }, fmt::format("dc-{}", i % 17),
+                "boot", platform::InstanceState::Live, 80000000000, true });
+        fleet::mirrorApplyList(mirror, list, 1);
+        return mirror;
+    }
+
+    placement::Planner fullPlanner()
+    {
+        placement::Planner planner;
+        for (size_t i = 0; i < replicas / regions; ++i) {
+            placement::PlannerEndpoint endpoint;
+            endpoint.id = fmt::format("engine-{}", i);
+            endpoint.pool = "drafter";
+            endpoint.boot = "boot";
+            endpoint.memoryBytes = 80;
+            planner.endpoints[endpoint.id] = endpoint;
+        }
+        for (size_t i = 0; i < models + adapters; ++i) {
+            placement::PlannerModel model;
+            model.name = fmt::format("model-{}", i);
+            model.pool = "drafter";
+            model.bytes = i < models ? 40 : 1;
+            model.idleTime = base::Seconds(300);
+            if (i >= models)
+                model.base = fmt::format("model-{}", i % models);
+            planner.models[model.name] = model;
+        }
+        return planner;
+    }
+
+} // namespace
+
+BenchTable benchCapacity(uint64_t)
+{
+    BenchTable table;
+    table.title = "Single steps at letter 1's size (410 daemons, 3600 replicas, 1000 models, 2900 adapters, 1200 keys)";
+    table.columns = { "step", "time us", "bytes" };
+    auto row = [&](const std::string& step, double seconds, const std::string& bytes) {
+        table.rows.push_back({ { step, fmt::format("{:.1f}", seconds * 1e6), bytes } });
+    };
+    double before = megabytesNow();
+    fleet::Mirror mirror = fullMirror();
+    double afterMirror = megabytesNow();
+    resources::EndpointLoads loads;
+    auto catalog = resources::catalogBuild(mirror, loads);
+    double afterCatalog = megabytesNow();
+    table.rows.push_back({ { "memory of the mirror", "", fmt::format("{:.1f} MB", afterMirror - before) } });
+    table.rows.push_back({ { "memory of one catalog", "", fmt::format("{:.1f} MB", afterCatalog - afterMirror) } });
+    row("build a catalog after a change", secondsEach([&] { resources::catalogBuild(mirror, loads); }), "");
+    row("read all sessions", secondsEach([&] { fleet::sessionsRead(mirror); }), "");
+    auto sessions = fleet::sessionsRead(mirror);
+    row("rank the owners of one thing", secondsEach([&] { fleet::ownersRank(sessions, "slot/1", "dc-1"); }), "");
+    json snapshot = fleet::mirrorDelta(mirror, 0, 0, Clock::now());
+    row("answer a sync without news",
+        secondsEach([&] { fleet::mirrorDelta(mirror, mirror.revision, mirror.listVersion, Clock::now()); }),
+        fmt::format("{}",
+            json::to_msgpack(fleet::mirrorDelta(mirror, mirror.revision, mirror.listVersion, Clock::now())).size()
+                + 20));
+    row("whole copy for a daemon that starts", secondsEach([&] { fleet::mirrorDelta(mirror, 0, 0, Clock::now()); }),
+        fmt::format("{}", json::to_msgpack(snapshot).size()));
+
+    net::PeerHandshake handshake { "d1", std::string(16, 'a'), "d2", std::string(16, 'b') };
+    net::PeerCipher caller("secret-secret-16", handshake, net::PeerSide::Caller);
+    net::PeerCipher listener("secret-secret-16", handshake, net::PeerSide::Listener);
+    budget::BudgetOptions options;
+    options.slots = 8;
+    resources::Account account { "account-1", 4000, 16000, 1 };
+    budget::Home home;
+    home.epoch = 1;
+    home.isFirstHolder = true;
+    auto lookup = [&](const std::string&) { return budget::HomeAccountSpec { &account, 1 }; };
+    budget::BudgetCall call { 1,
+        { { 1, "account-1", budget::ItemMode::Take, 1, 0, resources::ValueClass::Normal, base::Micros(100), 0,
+            "daemon-1/123" } },
+        { { "account-1", 5, 1 } } };
+    budget::BudgetAnswer answer = budget::homeAnswer(home, call, lookup, options, Clock::now());
+    json request = json::array({ "q", 1, "budget", { { "slot", 1 }, { "call", budget::budgetCallToJson(call) } } });
+    json reply = json::array({ "a", 1, true, budget::budgetAnswerToJson(answer) });
+    size_t callBytes = json::to_msgpack(request).size() + json::to_msgpack(reply).size() + 40;
+    row("borrow once from a peer, both sides", secondsEach([&] {
+        auto opened = listener.open(caller.seal(request).substr(net::peerLengthBytes));
+        budget::BudgetCall read = budget::budgetCallFromJson((*opened)[3]["call"]);
+        read.returns.clear();
+        json body = budget::budgetAnswerToJson(budget::homeAnswer(home, read, lookup, options, Clock::now()));
+        auto answered = caller.open(listener.seal(json::array({ "a", 1, true, body })).substr(net::peerLengthBytes));
+        budget::budgetAnswerFromJson((*answered)[3]);
+    }),
+        fmt::format("{}", callBytes));
+
+    placement::Planner planner = fullPlanner();
+    planner.models["model-7"].waitingCount = 1;
+    row("one decision of a region's placement owner",
+        secondsEach([&] { placement::plannerNext(planner, Clock::now()); }), "");
+
+    once::Claim claim { base::randomId() + base::randomId(), "daemon-1", base::randomId(), std::string(32, 'd') };
+    size_t claimBytes = once::claimToText(claim).size() + 80;
+    row("100 claims in one transaction", secondsEach([&] {
+        once::ClaimQueue queue;
+        for (size_t i = 0; i < 100; ++i)
+            queue.waiting.push_back(
+                { i, once::claimKvKey("account-1", std::to_string(i)), 0, once::claimToText(claim) });
+        std::vector<platform::KvCompare> compares;
+        std::vector<platform::KvWrite> writes;
+        once::claimBatchTxn(once::claimBatchTake(queue), compares, writes, 1);
+    }),
+        fmt::format("{}", claimBytes * 100));
+    return table;
+}
+
+} // namespace rattanshunt::lab
--- a/lab/BenchRecords.cpp
+++ b/lab/BenchRecords.cpp
@@ -157,7 +157,7 @@
                 if (isRelay(daemon)) {
                     std::vector<platform::KvEvent> events;
                     for (const platform::KvEvent& event : store.history) {
-                        if (event.entry.modRevision > before && open.size() && now >= open.back().first + watchMillis)
+                        if (event.entry.modRevision > before && !open.empty() && now >= open.back().first + watchMillis)
                             events.push_back(event);
                     }
                     if (!events.empty())
--- a/lab/ExplorerModels.cpp
+++ b/lab/ExplorerModels.cpp
@@ -61,9 +61,9 @@
             for (size_t i = 0; i < m_wire.size(); ++i)
                 list.push_back(fmt::format("order {} arrives", i));
             list.emplace_back("endpoint reports");
-            if (m_deaths < 1)
+            if (m_deaths < 2)
                 list.emplace_back("owner dies, another goes on");
-            if (m_boots < 1)
+            if (m_boots < 2)
                 list.emplace_back("endpoint starts anew");
             return list;
         }
@@ -101,11 +101,11 @@
             const PlannerEndpoint& endpoint = m_planner.endpoints.at("e");
             text += endpoint.boot + endpoint.ledger.boot;
             for (const Reservation& reservation : endpoint.ledger.reservations)
-                text += "(" + reservation.order + ")";
+                text += fmt::format("({})", reservation.order);
             for (const Order& order : m_wire)
                 text += fmt::format("<{} {} {} {}>", order.id, order.isLoad, order.boot, order.fencing);
             for (auto& [model, order] : m_loaded)
-                text += "{" + model + order + "}";
+                text += fmt::format("{{{}{}}}", model, order);
             for (const std::string& order : m_ended)
                 text += "!" + order;
             return text;
@@ -180,7 +180,7 @@
                 seen.loadedOrders.insert(order);
             m_planner.endpoints["e"].boot = m_boot;
             for (auto& [name, model] : m_planner.models) {
-                for (Place place : std::vector<Place>(model.places)) {
+                for (const Place& place : std::vector<Place>(model.places)) {
                     Resolution resolution = plannerResolve(place, seen, m_planner.options);
                     ModelRecord record;
                     Ledger ledger;
--- a/lab/LabFleet.cpp
+++ b/lab/LabFleet.cpp
@@ -331,6 +331,13 @@
     return sawKey;
 }
 
+std::map<std::string, base::Address> LabFleet::standInAddresses() const
+{
+    auto addresses = m_host->addresses;
+    addresses["platform"] = m_platform;
+    return addresses;
+}
+
 json LabFleet::platformCalls()
 {
     return json::parse(call(m_platform, { "GET", "/calls", {}, "" }).body, nullptr, false);
--- a/lab/LabFleet.h
+++ b/lab/LabFleet.h
@@ -78,6 +78,7 @@
     std::map<std::string, int> serviceRuns(); // by call, over all services
     bool endpointsSawKey();
     nlohmann::json platformCalls();
+    std::map<std::string, base::Address> standInAddresses() const; // by name, with "platform"
 
     // -- operators --
     net::HttpResponse admin(const std::string& daemon, const std::string& method, const std::string& target,
--- a/lab/Scenario.cpp
+++ b/lab/Scenario.cpp
@@ -33,6 +33,11 @@
         { "load", 1, 1,
             "load NAME key=KEY (model=M | path=P) [rate= seconds= count= tokens= stream=on idempotent=on value= "
             "deadline_ms= on=d1,d2]" },
+        { "storm-models", 1, 1,
+            "storm-models N [drafters=N]: models model-1 to model-N, the first in pool drafter, the rest in dispatch" },
+        { "steward-engines", 1, 1, "steward-engines N [as for engine]: engines steward-1 to steward-N" },
+        { "storm", 1, 1,
+            "storm NAME key=KEY models=N from=I pool=POOL count=N tokens=N [on=]: a load over many models at once" },
         { "join", 1, 1, "join LOAD" },
         { "repeat", 1, 1,
             "repeat LOAD key=KEY path=P: sends each of the load's calls once more with its idempotency key" },
@@ -238,6 +243,13 @@
                 withdraw(first);
             else if (name == "load")
                 startLoad(first);
+            else if (name == "storm-models")
+                applyStormModels(std::stoi(first));
+            else if (name == "steward-engines") {
+                for (int i = 1; i <= std::stoi(first); ++i)
+                    addEngine(fmt::format("steward-{}", i));
+            } else if (name == "storm")
+                startStorm(first);
             else if (name == "join")
                 waitForLoad(*m_loads.at(first));
             else if (name == "repeat")
@@ -403,6 +415,40 @@
             });
         }
 
+        // The first `drafters` models are bulletins' in pool drafter, the others in pool dispatch.
+        void applyStormModels(int count)
+        {
+            int drafters = static_cast<int>(number("drafters", count));
+            for (int i = 1; i <= count; ++i) {
+                bool isDrafter = i <= drafters;
+                apply("model", fmt::format("model-{}", i),
+                    fmt::format(R"({{"pool":"{}","bytes":30,"value":"{}"}})", isDrafter ? "drafter" : "dispatch",
+                        isDrafter ? "high" : "normal"));
+            }
+        }
+
+        // One load with a kind for each model; the kinds share a name, so that one tally counts them all.
+        void startStorm(const std::string& name)
+        {
+            auto load = std::make_shared<RunningLoad>();
+            load->plan.targets = targets();
+            int from = static_cast<int>(number("from", 1));
+            for (int i = from; i < from + static_cast<int>(number("models", 10)); ++i) {
+                LoadKind kind = kindFromOptions(name);
+                kind.model = fmt::format("model-{}", i);
+                load->plan.kinds.push_back(std::move(kind));
+            }
+            load->plan.rate = number("rate", 200);
+            load->plan.limit = static_cast<size_t>(number("count", 50));
+            load->plan.duration = base::Seconds(60);
+            load->plan.seed = m_loads.size() + 1;
+            m_loads[name] = load;
+            m_loop.spawn([this, load] {
+                load->result = loadRun(m_loop, load->plan);
+                load->isDone = true;
+            });
+        }
+
         static void waitForLoad(RunningLoad& load)
         {
             while (!load.isDone)
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -10,6 +10,7 @@
 #include "Bench.h"
 #include "EngineStandIn.h"
 #include "Explorer.h"
+#include "Golden.h"
 #include "Load.h"
 #include "PlatformStandIn.h"
 #include "Scenario.h"
@@ -226,17 +227,24 @@
 {
     static const std::map<std::string, lab::BenchTable (*)(uint64_t)> benches
         = { { "budget", lab::benchBudget }, { "placement", lab::benchPlacement }, { "routing", lab::benchRouting },
-              { "once", lab::benchOnce }, { "config", lab::benchConfig } };
+              { "once", lab::benchOnce }, { "config", lab::benchConfig }, { "capacity", lab::benchCapacity } };
     for (const std::string& name : s_words) {
         auto found = benches.find(name);
         if (found == benches.end())
-            throw std::runtime_error("bench: \"" + name + "\" is not one of budget, placement, routing, once, config");
+            throw std::runtime_error(
+                "bench: \"" + name + "\" is not one of budget, placement, routing, once, config, capacity");
         lab::BenchTable table = found->second(static_cast<uint64_t>(FLAGS_seed));
         std::cout << (FLAGS_json ? lab::benchJson(table).dump(2) : lab::benchText(table)) << std::endl;
     }
     return s_words.empty() ? exitUsage : 0;
 }
 
+int runGolden(net::Loop& loop)
+{
+    std::cout << lab::goldenSession(loop);
+    return 0;
+}
+
 int runExplore(net::Loop&)
 {
     lab::ExplorerLimits limits;
@@ -273,7 +281,7 @@
     s_words.assign(argv + std::min(argc, 2), argv + argc);
     std::map<std::string, int (*)(net::Loop&)> commands = { { "platform", runPlatform }, { "engine", runEngine },
         { "service", runService }, { "load", runLoad }, { "scenario", runScenarios }, { "verdict", runVerdict },
-        { "bench", runBench }, { "explore", runExplore } };
+        { "bench", runBench }, { "explore", runExplore }, { "golden", runGolden } };
     auto found = commands.find(command);
     if (found == commands.end()) {
         std::cerr << usageText;
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -2,7 +2,7 @@
 # Every process is started by us and ended by its id.
 
 dir=$(mktemp -d)
-declare -A pid_of
+declare -gA pid_of
 
 stop_all() {
     for name in "${!pid_of[@]}"; do kill -KILL "${pid_of[$name]}" 2>/dev/null || true; done
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -84,6 +84,7 @@
         return a.score != b.score ? a.score > b.score : a.session->name < b.session->name;
     });
     std::vector<Session> owners;
+    owners.reserve(ranked.size());
     for (const Ranked& entry : ranked)
         owners.push_back(*entry.session);
     return owners;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -3,10 +3,13 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
+#include <fmt/format.h>
+
 #include "base/Counters.h"
 #include "net/Http.h"
 #include "net/Loop.h"
 #include "net/SocketPeek.h"
+#include "net/Tap.h"
 
 namespace rattanshunt::net {
 
@@ -72,6 +75,8 @@
 
         bool respond(HttpResponse response) override
         {
+            if (tapIsOn())
+                tapResponse(response.status, response.headers, response.body);
             http::response<http::string_body> message;
             message.version(11);
             message.result(static_cast<unsigned>(response.status));
@@ -86,6 +91,8 @@
 
         bool startStream(int status, const std::vector<HttpHeader>& headers) override
         {
+            if (tapIsOn())
+                tapResponse(status, headers, "");
             m_streamHead.emplace();
             m_streamHead->version(11);
             m_streamHead->result(static_cast<unsigned>(status));
@@ -104,6 +111,8 @@
         {
             if (text.empty())
                 return !m_isBroken;
+            if (tapIsOn())
+                m_tap.response += text;
             return writeMessage([&](auto handler) {
                 asio::async_write(
                     m_socket, http::make_chunk(asio::buffer(text.data(), text.size())), std::move(handler));
@@ -251,7 +260,11 @@
         {
             m_hasAnswered = false;
             m_streamIsOpen = false;
+            if (tapIsOn())
+                tapRequest();
             m_server->events.onRequest(*this);
+            if (tapIsOn())
+                tapEmit(m_tap);
             m_onGone = nullptr;
             if (!m_hasAnswered && !m_isBroken)
                 respond({ 500, {}, "" });
@@ -302,6 +315,29 @@
             return false;
         }
 
+        static std::string tapHeaders(const std::vector<HttpHeader>& headers)
+        {
+            std::string text;
+            for (const HttpHeader& header : headers)
+                text += header.name + ": " + header.value + "\n";
+            return text + "\n";
+        }
+
+        void tapRequest()
+        {
+            ErrorCode ignored;
+            auto local = m_socket.local_endpoint(ignored);
+            m_tap.channel = fmt::format("http {}:{}", local.address().to_string(), local.port());
+            m_tap.request
+                = m_request.method + " " + m_request.target + "\n" + tapHeaders(m_request.headers) + m_request.body;
+            m_tap.response.clear();
+        }
+
+        void tapResponse(int status, const std::vector<HttpHeader>& headers, const std::string& body)
+        {
+            m_tap.response = fmt::format("{}\n", status) + tapHeaders(headers) + body;
+        }
+
         static constexpr size_t readChunkBytes = 2048;
 
         std::shared_ptr<ServerState> m_server;
@@ -311,6 +347,7 @@
         HttpRequest m_request;
         std::optional<http::response<http::empty_body>> m_streamHead;
         std::function<void()> m_onGone;
+        TapRecord m_tap;
         bool m_requestKeepsAlive = false;
         bool m_hasAnswered = false;
         bool m_streamIsOpen = false;
--- a/src/net/PeerLink.cpp
+++ b/src/net/PeerLink.cpp
@@ -7,6 +7,7 @@
 #include "base/Counters.h"
 #include "base/Log.h"
 #include "net/PeerFrames.h"
+#include "net/Tap.h"
 
 namespace rattanshunt::net {
 
@@ -306,6 +307,9 @@
             }
             if (body.is_discarded())
                 isUnderstood = false;
+            if (tapIsOn())
+                tapEmit({ "peer " + message[2].get<std::string>(), message[3].dump(),
+                    body.is_discarded() ? "" : body.dump() });
             if (!m_isClosed)
                 enqueue(json::array({ "a", message[1], isUnderstood, isUnderstood ? std::move(body) : json() }));
         }
--- a/src/reports/Book.cpp
+++ b/src/reports/Book.cpp
@@ -36,25 +36,13 @@
             ++cell.reasons[record.reason];
     }
 
-    void mergeCell(Cell& cell, const Cell& other)
-    {
-        cell.requests += other.requests;
-        cell.complete += other.complete;
-        cell.unknown += other.unknown;
-        cell.refusedOwn += other.refusedOwn;
-        cell.refusedWrongly += other.refusedWrongly;
-        cell.tokens += other.tokens;
-        for (auto& [reason, count] : other.reasons)
-            cell.reasons[reason] += count;
-    }
-
     using MinuteCells = std::map<Minute, std::map<std::string, Cell>>;
 
     void mergeMinutes(MinuteCells& minutes, const MinuteCells& other)
     {
         for (auto& [minute, cells] : other) {
             for (auto& [name, cell] : cells)
-                mergeCell(minutes[minute][name], cell);
+                cellMerge(minutes[minute][name], cell);
         }
     }
 
@@ -120,6 +108,18 @@
         book.firstBytes[step] += other.firstBytes[step];
 }
 
+void cellMerge(Cell& cell, const Cell& other)
+{
+    cell.requests += other.requests;
+    cell.complete += other.complete;
+    cell.unknown += other.unknown;
+    cell.refusedOwn += other.refusedOwn;
+    cell.refusedWrongly += other.refusedWrongly;
+    cell.tokens += other.tokens;
+    for (auto& [reason, count] : other.reasons)
+        cell.reasons[reason] += count;
+}
+
 void histogramAdd(Histogram& histogram, base::Duration duration)
 {
     ++histogram[stepOf(duration)];
--- a/src/reports/Book.h
+++ b/src/reports/Book.h
@@ -64,6 +64,7 @@
 
 void bookRecord(Book&, const RequestRecord&, Minute now);
 void bookMerge(Book&, const Book& other);
+void cellMerge(Cell&, const Cell& other);
 void histogramAdd(Histogram&, base::Duration);
 
 // The time below which `part` of the entries lie; 0 if there are none.
--- a/src/reports/BurnReport.cpp
+++ b/src/reports/BurnReport.cpp
@@ -30,17 +30,6 @@
         std::set<Minute> refusedMinutes;
     };
 
-    void add(Cell& sum, const Cell& cell)
-    {
-        sum.requests += cell.requests;
-        sum.complete += cell.complete;
-        sum.unknown += cell.unknown;
-        sum.refusedOwn += cell.refusedOwn;
-        sum.refusedWrongly += cell.refusedWrongly;
-        for (auto& [reason, count] : cell.reasons)
-            sum.reasons[reason] += count;
-    }
-
     std::string mainReasonOf(const Cell& cell)
     {
         std::string main;
@@ -81,11 +70,11 @@
         for (auto& [minute, cells] : minutes) {
             for (auto& [name, cell] : cells) {
                 Sums& sum = sums[name];
-                add(sum.all, cell);
+                cellMerge(sum.all, cell);
                 if (minute > now - options.shortWindow)
-                    add(sum.shortWindow, cell);
+                    cellMerge(sum.shortWindow, cell);
                 if (minute > now - options.longWindow)
-                    add(sum.longWindow, cell);
+                    cellMerge(sum.longWindow, cell);
                 if (cell.refusedWrongly)
                     sum.refusedMinutes.insert(minute);
             }
--- a/tests/DecisionTests.cpp
+++ b/tests/DecisionTests.cpp
@@ -1,5 +1,7 @@
 // Routing, queues, claims, reports, settings, text.
 #include <cstdlib>
+#include <fstream>
+#include <sstream>
 
 #include "Support.h"
 #include "base/Log.h"
@@ -227,3 +229,23 @@
     std::string line = base::logLine(base::LogLevel::Info, "request", { { "id", "a b\n\"c\"=\\" }, { "n", 5 } });
     cr_assert_str_eq(line.c_str(), "level=info event=request id=\"a b\\x0a\\\"c\\\"=\\\\\" n=5");
 }
+
+Test(settings, the_table_in_the_operators_page_is_the_real_one)
+{
+    std::ifstream file(std::string(SCENARIO_DIR) + "/../../docs/OPERATING.md");
+    std::stringstream page;
+    page << file.rdbuf();
+    cr_assert_neq(page.str().find(settings::settingsTable()), std::string::npos,
+        "put the output of `rattanshunt settings` into docs/OPERATING.md");
+}
+
+Test(outcome, the_interface_page_lists_every_reason)
+{
+    std::ifstream file(std::string(SCENARIO_DIR) + "/../../docs/API.md");
+    std::stringstream page;
+    page << file.rdbuf();
+    for (const entry::ReasonInfo& info : entry::reasonTable()) {
+        if (info.reason != entry::Reason::None)
+            cr_assert_neq(page.str().find(info.name), std::string::npos, "%s is missing in docs/API.md", info.name);
+    }
+}
--- /dev/null
+++ b/tests/GoldenTests.cpp
@@ -0,0 +1,27 @@
+// The golden session: every exchange between caller, daemon, endpoint, peer and key-value service, compared as text.
+#include <fstream>
+#include <sstream>
+
+#include "Golden.h"
+#include "Support.h"
+
+using namespace rattanshunt;
+
+Test(golden, session_is_as_recorded, .timeout = 60)
+{
+    std::ifstream file(std::string(SCENARIO_DIR) + "/../golden/session.txt");
+    std::stringstream recorded;
+    recorded << file.rdbuf();
+    std::string text;
+    tests::onLoop([&](net::Loop& loop) { text = lab::goldenSession(loop); });
+    std::istringstream expected(recorded.str());
+    std::istringstream actual(text);
+    std::string expectedLine;
+    std::string actualLine;
+    for (int line = 1; std::getline(expected, expectedLine); ++line) {
+        bool isThere = static_cast<bool>(std::getline(actual, actualLine));
+        cr_assert(isThere && actualLine == expectedLine, "line %d: recorded \"%s\", now \"%s\"", line,
+            expectedLine.c_str(), actualLine.c_str());
+    }
+    cr_assert(!std::getline(actual, actualLine), "more lines than recorded: %s", actualLine.c_str());
+}
--- a/tests/ScenarioTests.cpp
+++ b/tests/ScenarioTests.cpp
@@ -43,6 +43,8 @@
 SCENARIO(graceful_stop, "graceful-stop")
 SCENARIO(leaving_endpoint, "leaving-endpoint")
 SCENARIO(lost_kv_answers, "lost-kv-answers")
+SCENARIO(storm_mauritius, "storm-mauritius")
+SCENARIO(storm_saigon, "storm-saigon")
 SCENARIO(bad_input, "bad-input")
 
 Test(scenario_language, wrong_lines_are_named_with_what_was_expected)
