--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -92,12 +92,15 @@
 void Loop::armTick()
 {
     base::TimePoint due = m_timers.nextDue();
-    if (due == base::timeNever || m_isStopping)
+    // An earlier wake-up finds what is due next; changing the system's timer for each subscription costs a system call.
+    if (due >= m_armedFor || m_isStopping)
         return;
+    m_armedFor = due;
     m_tick.expires_at(due);
     m_tick.async_wait([this](ErrorCode error) {
         if (error || m_isStopping)
             return;
+        m_armedFor = base::timeNever;
         m_isAdvancing = true;
         m_timers.advance(base::Clock::now());
         m_isAdvancing = false;
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -68,6 +68,7 @@
     size_t m_fiberCount = 0;
     bool m_isStopping = false;
     bool m_isAdvancing = false;
+    base::TimePoint m_armedFor = base::timeNever; // when the next wake-up is asked for
 };
 
 // ---- [2] Waiting -------------------------------------------------------------------------------
