Name the reason of wrongful ends in the burn report, not the caller's own

Cause: the demonstration's report, looked at in a browser, named over_rate as the main reason of a burnt error budget although refusals above the rate are rightful, and counted callers that left as unknown outcomes. Change: what the caller did itself is counted apart, with its own reasons; a model or route without a name is (none). Conclusion: what stands on top of the report is what the operator can act on.

--- a/src/reports/Book.cpp
+++ b/src/reports/Book.cpp
@@ -24,16 +24,17 @@
     {
         ++cell.requests;
         cell.tokens += record.tokens;
-        if (record.isUnknown)
-            ++cell.unknown;
-        else if (!record.isRefusal)
-            ++cell.complete;
-        else if (record.isCallersFault)
+        if (record.isCallersFault) {
             ++cell.refusedOwn;
-        else
-            ++cell.refusedWrongly;
-        if (record.isRefusal || record.isUnknown)
-            ++cell.reasons[record.reason];
+            ++cell.ownReasons[record.reason];
+            return;
+        }
+        if (!record.isUnknown && !record.isRefusal) {
+            ++cell.complete;
+            return;
+        }
+        ++(record.isUnknown ? cell.unknown : cell.refusedWrongly);
+        ++cell.reasons[record.reason];
     }
 
     using MinuteCells = std::map<Minute, std::map<std::string, Cell>>;
@@ -52,7 +53,7 @@
         for (auto& [minute, cells] : minutes) {
             for (auto& [name, cell] : cells) {
                 list.push_back({ minute, name, cell.requests, cell.complete, cell.unknown, cell.refusedOwn,
-                    cell.refusedWrongly, cell.tokens, cell.reasons });
+                    cell.refusedWrongly, cell.tokens, cell.reasons, cell.ownReasons });
             }
         }
         return list;
@@ -70,6 +71,7 @@
             cell.refusedWrongly = item.at(6).get<int64_t>();
             cell.tokens = item.at(7).get<double>();
             cell.reasons = item.at(8).get<std::map<std::string, int64_t>>();
+            cell.ownReasons = item.at(9).get<std::map<std::string, int64_t>>();
         }
         return minutes;
     }
@@ -118,6 +120,8 @@
     cell.tokens += other.tokens;
     for (auto& [reason, count] : other.reasons)
         cell.reasons[reason] += count;
+    for (auto& [reason, count] : other.ownReasons)
+        cell.ownReasons[reason] += count;
 }
 
 void histogramAdd(Histogram& histogram, base::Duration duration)
--- a/src/reports/Book.h
+++ b/src/reports/Book.h
@@ -44,10 +44,11 @@
     int64_t requests = 0;
     int64_t complete = 0;
     int64_t unknown = 0;
-    int64_t refusedOwn = 0;     // refused, by the caller's own fault
+    int64_t refusedOwn = 0;     // refused or left, by the caller's own doing
     int64_t refusedWrongly = 0; // refused although within rate and well formed
     double tokens = 0;
-    std::map<std::string, int64_t> reasons; // of refusals and unknown outcomes
+    std::map<std::string, int64_t> reasons;    // of wrongful refusals and unknown outcomes
+    std::map<std::string, int64_t> ownReasons; // of what the caller did itself
 };
 
 constexpr size_t histogramSteps = 96; // each step is a quarter longer than the one before; from 1 ms
--- a/src/reports/BurnReport.cpp
+++ b/src/reports/BurnReport.cpp
@@ -30,11 +30,11 @@
         std::set<Minute> refusedMinutes;
     };
 
-    std::string mainReasonOf(const Cell& cell)
+    std::string mostFrequent(const std::map<std::string, int64_t>& reasons)
     {
         std::string main;
         int64_t most = 0;
-        for (auto& [reason, count] : cell.reasons) {
+        for (auto& [reason, count] : reasons) {
             if (count > most) {
                 most = count;
                 main = reason;
@@ -46,7 +46,7 @@
     BurnRow rowOf(const std::string& name, const Sums& sums, const BurnOptions& options)
     {
         BurnRow row;
-        row.name = name.empty() ? "(no account)" : name;
+        row.name = name.empty() ? "(none)" : name;
         row.requests = sums.all.requests;
         row.complete = sums.all.complete;
         row.refusedWrongly = sums.all.refusedWrongly;
@@ -59,7 +59,7 @@
             = [&](const Cell& cell) { return burnRate(cell.refusedWrongly + cell.unknown, countable(cell), options); };
         row.shortBurn = burnOf(sums.shortWindow);
         row.longBurn = burnOf(sums.longWindow);
-        row.mainReason = mainReasonOf(sums.all);
+        row.mainReason = mostFrequent(sums.all.reasons.empty() ? sums.all.ownReasons : sums.all.reasons);
         return row;
     }
 
--- a/src/reports/BurnReport.h
+++ b/src/reports/BurnReport.h
@@ -28,7 +28,7 @@
     double served = 1;         // complete / (requests less those refused by the caller's fault)
     double shortBurn = 0;      // of the error budget: 1 uses it up exactly over its period
     double longBurn = 0;
-    std::string mainReason; // most frequent reason of wrongful ends
+    std::string mainReason; // most frequent reason of wrongful ends; of the caller\'s own ones if there are none
 };
 
 struct MinutePoint {
--- a/tests/DecisionTests.cpp
+++ b/tests/DecisionTests.cpp
@@ -166,14 +166,18 @@
             book, { "acme", "m", "none", false, false, false, i == 0, base::Millis(800), base::Millis(20), 10 }, 1000);
     reports::bookRecord(book, { "acme", "m", "no_replica", true, false, false, false, {}, {}, 0 }, 1000);
     reports::bookRecord(book, { "acme", "m", "over_rate", true, false, true, false, {}, {}, 0 }, 1001);
+    reports::bookRecord(book, { "acme", "m", "over_rate", true, false, true, false, {}, {}, 0 }, 1001);
+    reports::bookRecord(book, { "acme", "m", "caller_gone", false, true, true, false, {}, {}, 0 }, 1001);
     reports::Book merged = reports::bookFromJson(reports::bookToJson(book));
     reports::bookMerge(merged, book);
     reports::BurnReport report = reports::burnReport(merged, 1001);
     const reports::BurnRow& row = report.accounts.front();
-    cr_assert_eq(row.requests, 202);
+    cr_assert_eq(row.requests, 206);
     cr_assert_eq(row.refusedMinutes, 1, "a refusal by the caller's fault is no minute of refusal");
     cr_assert_float_eq(row.served, 0.99, 1e-9);
     cr_assert_float_eq(row.shortBurn, 10, 1e-6);
+    cr_assert_str_eq(
+        row.mainReason.c_str(), "no_replica", "what the caller did itself is not the main reason of wrongful ends");
     cr_assert_eq(report.coldStarts.front().count, 2);
     cr_assert(report.coldStarts.front().p99 >= base::Millis(800));
     cr_assert(reports::burnReportHtml(report).find("<svg") != std::string::npos);
