Test timers, links between daemons, a thousand open streams and two daemons with one name

Cause: the loop's fibers, the authentication of links over real sockets and the conflict of names had only been tried by what stands on them. Change: tests only, and leftovers removed (an unused parameter, an unused variable, a comment that named a field which does not exist). Conclusion: no fault found.

--- a/lab/BenchRecords.cpp
+++ b/lab/BenchRecords.cpp
@@ -140,7 +140,6 @@
         KvStore store;
         std::vector<std::pair<double, platform::Revision>> open;
         double next = 0;
-        size_t perCenter = (daemons + centers - 1) / centers;
         auto isRelay = [&](size_t daemon) { return daemon / centers < relays; };
         double bytes = 0;
         std::exponential_distribution<double> gap(changesPerSecond / 1000);
@@ -189,7 +188,6 @@
         run.readsPerSecond = relayCount * 1000 / headInterval;
         run.openWatches = relayCount;
         run.bytesPerDaemon = bytes / configSeconds / static_cast<double>(daemons);
-        (void)perCenter;
         return run;
     }
 
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -71,8 +71,7 @@
         return request.isCallerGone ? AttemptResult::CallerGone : AttemptResult::Broken;
     }
 
-    AttemptResult passWhole(
-        ThreadState& thread, RequestState& request, Attempts& attempts, net::HttpConnection& connection)
+    AttemptResult passWhole(ThreadState& thread, RequestState& request, net::HttpConnection& connection)
     {
         std::string body;
         bool isEnd = false;
@@ -94,7 +93,6 @@
         bool isDelivered = request.exchange.respond({ 200,
             { { "Content-Type", "application/json" }, { headerRequestId, request.id }, { headerOutcome, "complete" } },
             std::move(body) });
-        (void)attempts;
         return isDelivered ? AttemptResult::Whole : AttemptResult::CallerGone;
     }
 
@@ -197,7 +195,7 @@
             return engineRefusal(head.status);
         }
         return attempts.usesStream ? passStream(thread, request, attempts, connection)
-                                   : passWhole(thread, request, attempts, connection);
+                                   : passWhole(thread, request, connection);
     }
 
     ReplicaAsk replicaAsk(const RequestState& request, const Attempts& attempts, double weight)
--- a/src/placement/Planner.h
+++ b/src/placement/Planner.h
@@ -12,7 +12,7 @@
 //
 // Pure; the caller's thread owns the data.
 //
-// Q: Why was a model placed where it is?   A: Place::reason and the log line "placement.load" say so.
+// Q: Why was a model placed where it is?   A: Change::reason, the log line "placement.load" and `explain model` say so.
 // Q: Why is a model not unloaded?          A: It is kept while requests wait or run, for its idle time after the last
 //    one, and longer while nobody needs the memory and `unloadsIdle` is off.
 #pragma once
--- /dev/null
+++ b/tests/NetTests.cpp
@@ -0,0 +1,188 @@
+// Loop, timers, links between daemons, a thousand open streams, two daemons with one name.
+#include "Support.h"
+#include "base/Counters.h"
+#include "net/Http.h"
+#include "net/PeerLink.h"
+#include "net/Timers.h"
+
+using namespace rattanshunt;
+using nlohmann::json;
+using tests::at;
+
+Test(timers, run_once_in_time_and_not_after_cancelling)
+{
+    net::TimerService timers(at(0));
+    std::vector<int> ran;
+    timers.subscribe(at(100), [&] { ran.push_back(1); });
+    net::TimerId cancelled = timers.subscribe(at(50), [&] { ran.push_back(2); });
+    timers.subscribe(at(20000), [&] { ran.push_back(3); });
+    timers.cancel(cancelled);
+    timers.advance(at(99));
+    cr_assert(ran.empty());
+    timers.advance(at(110));
+    cr_assert_eq(ran.size(), 1);
+    // A pause longer than a turn of the wheel.
+    timers.advance(at(60000));
+    cr_assert_eq(ran.size(), 2);
+    cr_assert_eq(timers.pendingCount(), 0);
+    cr_assert(timers.nextDue() == base::timeNever);
+}
+
+Test(timers, a_callback_may_cancel_another_that_is_due_and_subscribe_anew)
+{
+    net::TimerService timers(at(0));
+    int count = 0;
+    net::TimerId second = 0;
+    timers.subscribe(at(10), [&] {
+        timers.cancel(second);
+        timers.subscribe(at(30), [&] { ++count; });
+    });
+    second = timers.subscribe(at(10), [&] { count += 100; });
+    timers.advance(at(20));
+    cr_assert_eq(count, 0);
+    timers.advance(at(40));
+    cr_assert_eq(count, 1);
+}
+
+namespace {
+
+struct Listener {
+    net::PeerNetwork network;
+    base::Address address { "127.0.0.1", 0 };
+
+    Listener(net::Loop& loop, const std::string& secret)
+        : network(loop, options("d2", secret))
+    {
+        std::string error;
+        network.listen(
+            address,
+            [](const std::string& from, const std::string& method, const json& body) {
+                if (method == "echo")
+                    return json({ { "from", from }, { "body", body } });
+                if (method == "throw")
+                    return json(body.at("missing"));
+                return json(json::value_t::discarded);
+            },
+            error);
+    }
+
+    static net::PeerOptions options(const std::string& name, const std::string& secret)
+    {
+        net::PeerOptions options;
+        options.name = name;
+        options.secret = secret;
+        options.connectTime = base::Millis(300);
+        options.heartbeatInterval = base::Millis(50);
+        options.silenceLimit = base::Millis(200);
+        return options;
+    }
+};
+
+} // namespace
+
+Test(peers, answers_refusals_and_strangers, .timeout = 30)
+{
+    tests::onLoop([](net::Loop& loop) {
+        auto soon = [] { return base::Clock::now() + base::Seconds(2); };
+        Listener listener(loop, "secret-secret-16");
+        net::PeerNetwork friendly(loop, Listener::options("d1", "secret-secret-16"));
+        net::PeerResult answer = friendly.call(listener.address, "echo", { { "n", 5 } }, soon());
+        cr_assert(answer.error == net::PeerError::None);
+        cr_assert_str_eq(answer.body["from"].get<std::string>().c_str(), "d1");
+        cr_assert(friendly.call(listener.address, "throw", json::object(), soon()).error == net::PeerError::Refused);
+        cr_assert(friendly.call(listener.address, "unknown", json::object(), soon()).error == net::PeerError::Refused);
+        net::PeerNetwork stranger(loop, Listener::options("d3", "another-secret-16"));
+        cr_assert(stranger.call(listener.address, "echo", json::object(), soon()).error == net::PeerError::NotSent);
+        cr_assert_gt(base::countersRead()["peer_handshakes_refused_total"], 0);
+        cr_assert(friendly.call({ "127.0.0.1", 1 }, "echo", json::object(), soon()).error == net::PeerError::NotSent);
+        friendly.close();
+        stranger.close();
+        listener.network.close();
+    });
+}
+
+Test(peers, many_calls_share_one_link, .timeout = 30)
+{
+    tests::onLoop([](net::Loop& loop) {
+        Listener listener(loop, "secret-secret-16");
+        net::PeerNetwork network(loop, Listener::options("d1", "secret-secret-16"));
+        size_t done = 0;
+        for (int i = 0; i < 500; ++i)
+            loop.spawn([&, i] {
+                net::PeerResult answer
+                    = network.call(listener.address, "echo", i, base::Clock::now() + base::Seconds(5));
+                done += answer.error == net::PeerError::None && answer.body["body"] == i;
+            });
+        while (done < 500)
+            net::sleepFor(base::Millis(5));
+        cr_assert_eq(network.linkCount(), 1);
+        network.close();
+        listener.network.close();
+    });
+}
+
+Test(http, a_thousand_open_streams_on_one_thread, .timeout = 60)
+{
+    tests::onLoop([](net::Loop& loop) {
+        constexpr size_t streams = 1000;
+        size_t open = 0;
+        net::Event go;
+        bool isGoing = false;
+        net::HttpServerEvents events;
+        events.onRequest = [&](net::HttpExchange& exchange) {
+            exchange.startStream(200, {});
+            exchange.sendChunk("first ");
+            ++open;
+            while (!isGoing)
+                net::sleepFor(base::Millis(10));
+            exchange.sendChunk("last " + exchange.request().target);
+            exchange.finishStream();
+        };
+        events.onMalformed = [](int status, std::string_view) { return net::HttpResponse { status, {}, "" }; };
+        std::string error;
+        auto server = net::httpServe(loop, { "127.0.0.1", 0 }, {}, events, error);
+        cr_assert(server.has_value());
+        size_t right = 0;
+        size_t ended = 0;
+        for (size_t i = 0; i < streams; ++i)
+            loop.spawn([&, i] {
+                auto connection = net::HttpConnection::create(loop, server->address);
+                net::HttpRequest request { "GET", fmt::format("/{}", i), {}, "" };
+                net::HttpResult result = net::httpCall(*connection, request, base::Clock::now() + base::Seconds(40));
+                right += result.response.body == fmt::format("first last /{}", i);
+                ++ended;
+            });
+        while (open < streams)
+            net::sleepFor(base::Millis(10));
+        isGoing = true;
+        while (ended < streams)
+            net::sleepFor(base::Millis(10));
+        cr_assert_eq(right, streams);
+        server->stopAccepting();
+    });
+}
+
+Test(fleet, two_daemons_with_one_name, .timeout = 60)
+{
+    tests::onLoop([](net::Loop& loop) {
+        lab::FleetPlan plan;
+        plan.settings = lab::labSettings();
+        lab::LabFleet fleet(loop, plan);
+        cr_assert(fleet.start());
+        settings::Settings twin = lab::labSettings();
+        twin.name = twin.instanceId = "d1";
+        twin.dataCenter = "dc-1";
+        twin.platform = { fleet.standInAddresses()["platform"] };
+        twin.clientListen = twin.peerListen = twin.adminListen = { "127.0.0.1", 0 };
+        cli::Daemon second(twin);
+        second.start();
+        cr_assert(second.waitListening(base::Seconds(5)));
+        // The first holds the name from another address: the second must not join while it lives.
+        net::sleepFor(base::Millis(2500));
+        cr_assert(!second.waitReady(base::Duration::zero()));
+        fleet.kill("d1");
+        cr_assert(fleet.waitUntil([&] { return second.waitReady(base::Duration::zero()); }, base::Seconds(15)));
+        second.requestStop(false);
+        second.join();
+    });
+}
