Say that a revision is in force when traffic threads have it

Ruled out: a catalog that went back (the refusals came only within the first milliseconds after the apply). A change may take up to 3 s, so a request right after it may still see the former configuration: the wait states what is promised. Conclusion: 'in force' now means what callers see.

--- a/src/admin/AdminServer.cpp
+++ b/src/admin/AdminServer.cpp
@@ -257,8 +257,10 @@
     json ownStatus() const
     {
         base::TimePoint now = base::Clock::now();
-        return { { "revision", fleet.mirror().revision }, { "freshness", fleet::freshnessName(fleet.freshness(now)) },
-            { "ready", backbone.isReady() }, { "relay", fleet.isRelay() }, { "data_center", fleet.self().dataCenter },
+        // In force is what traffic threads see, a little later than what the mirror holds.
+        return { { "revision", backbone.catalog()->revision },
+            { "freshness", fleet::freshnessName(fleet.freshness(now)) }, { "ready", backbone.isReady() },
+            { "relay", fleet.isRelay() }, { "data_center", fleet.self().dataCenter },
             { "requests_under_way", sources.requestsUnderWay() } };
     }
 
