Read the instance list and run loads in one place each

Cause: a reading of the whole change found two copies with small variations: Fleet read the platform's list at the start and in its loop with the same steps, and the scenario runner started loads and storms with the same fiber. Change: readListChanges() and runInBackground() serve both; behaviour stays as it is. Conclusion: of the pairs that were pointed out, the benches' baselines, the tests' set-ups and the sums of unlike structs share a shape, not their logic, and stay.

--- a/lab/Scenario.cpp
+++ b/lab/Scenario.cpp
@@ -399,6 +399,15 @@
             return list;
         }
 
+        void runInBackground(const std::string& name, const std::shared_ptr<RunningLoad>& load)
+        {
+            m_loads[name] = load;
+            m_loop.spawn([this, load] {
+                load->result = loadRun(m_loop, load->plan);
+                load->isDone = true;
+            });
+        }
+
         void startLoad(const std::string& name)
         {
             auto load = std::make_shared<RunningLoad>();
@@ -408,11 +417,7 @@
             load->plan.limit = static_cast<size_t>(number("count", 0));
             load->plan.duration = base::durationOf(number("seconds", load->plan.limit ? 60 : 2));
             load->plan.seed = m_loads.size() + 1;
-            m_loads[name] = load;
-            m_loop.spawn([this, load] {
-                load->result = loadRun(m_loop, load->plan);
-                load->isDone = true;
-            });
+            runInBackground(name, load);
         }
 
         // The first `drafters` models are bulletins' in pool drafter, the others in pool dispatch.
@@ -442,11 +447,7 @@
             load->plan.limit = static_cast<size_t>(number("count", 50));
             load->plan.duration = base::Seconds(60);
             load->plan.seed = m_loads.size() + 1;
-            m_loads[name] = load;
-            m_loop.spawn([this, load] {
-                load->result = loadRun(m_loop, load->plan);
-                load->isDone = true;
-            });
+            runInBackground(name, load);
         }
 
         static void waitForLoad(RunningLoad& load)
--- a/src/fleet/Fleet.cpp
+++ b/src/fleet/Fleet.cpp
@@ -147,6 +147,15 @@
         }
     }
 
+    // Takes in what has changed in the platform's list. False if the platform did not answer.
+    bool readListChanges(net::HttpConnection& connection)
+    {
+        auto changes = platform::instanceListRead(connection, mirror.listVersion, base::Clock::now() + listInterval);
+        if (changes.isKnown)
+            change([&] { mirrorApplyList(mirror, changes.changed, changes.version); });
+        return changes.isKnown;
+    }
+
     void listLoop()
     {
         std::unique_ptr<net::HttpConnection> connection;
@@ -154,10 +163,7 @@
         while (!isStopped && isWatching && !options.platform.empty()) {
             if (!connection || !connection->isReusable())
                 connection = net::HttpConnection::create(loop, options.platform[turn++ % options.platform.size()]);
-            auto changes
-                = platform::instanceListRead(*connection, mirror.listVersion, base::Clock::now() + listInterval);
-            if (changes.isKnown)
-                change([&] { mirrorApplyList(mirror, changes.changed, changes.version); });
+            readListChanges(*connection);
             net::sleepFor(listInterval);
         }
     }
@@ -359,12 +365,8 @@
     {
         for (const base::Address& address : options.platform) {
             auto connection = net::HttpConnection::create(loop, address);
-            auto changes
-                = platform::instanceListRead(*connection, mirror.listVersion, base::Clock::now() + listInterval);
-            if (!changes.isKnown)
-                continue;
-            change([&] { mirrorApplyList(mirror, changes.changed, changes.version); });
-            return;
+            if (readListChanges(*connection))
+                return;
         }
     }
 
