--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,5 +1,6 @@
 #include "base/Log.h"
 
+#include <atomic>
 #include <chrono>
 
 #include <fmt/chrono.h>
@@ -9,7 +10,8 @@
 
 namespace {
 
-    LogLevel s_threshold = LogLevel::Info;
+    std::atomic<LogLevel> s_threshold { LogLevel::Info };
+    void (*s_output)(std::string_view) = nullptr;
 
     const char* levelName(LogLevel level)
     {
@@ -67,6 +69,16 @@
     google::InitGoogleLogging(name.c_str());
 }
 
+void logSetOutput(void (*write)(std::string_view line))
+{
+    s_output = write;
+}
+
+void logSetThreshold(LogLevel threshold)
+{
+    s_threshold = threshold;
+}
+
 std::string logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = fmt::format("level={} event={}", levelName(level), event);
@@ -87,7 +99,10 @@
     auto millis = now.time_since_epoch().count() % 1000;
     auto seconds = std::chrono::time_point_cast<std::chrono::seconds>(now);
     std::string line = fmt::format("time={:%FT%T}.{:03}Z ", seconds, millis) + logLine(level, event, fields);
-    LOG(INFO) << line;
+    if (s_output)
+        s_output(line);
+    else
+        LOG(INFO) << line;
 }
 
 } // namespace rattanshunt::base
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -1,4 +1,4 @@
-// Structured log lines: one line of key=value pairs for each event, written through glog.
+// Structured log lines: one line of key=value pairs for each event, written through glog or to another output.
 //
 //   logEvent(LogLevel::Info, "key.withdrawn", { { "key", id }, { "account", account } });
 //
@@ -38,6 +38,12 @@
 // Sets up glog to write to standard error. `threshold` drops events below it. Call once, before threads start.
 void logSetup(const std::string& programName, LogLevel threshold);
 
+// Sends lines to `write` instead. Call once, before threads start.
+void logSetOutput(void (*write)(std::string_view line));
+
+// Changes the threshold. Safe from any thread.
+void logSetThreshold(LogLevel);
+
 // Formats one event. Pure; safe from any thread.
 std::string logLine(LogLevel, std::string_view event, std::initializer_list<LogField>);
 
--- /dev/null
+++ b/src/base/LogOutput.h
@@ -0,0 +1,20 @@
+// Log lines to standard output without ever blocking.
+//
+// Lines wait in memory and are written while the reader keeps up. What does not fit is dropped and counted; the count
+// goes out as a line of its own once there is room. Safe from any thread.
+#pragma once
+
+#include <string_view>
+
+namespace rattanshunt::base {
+
+// Makes logEvent() write here. Call once, before threads start.
+void logToStandardOutput();
+
+// Writes what the reader takes now. Call about ten times a second, and at the end.
+void logFlush();
+
+// Takes one line in; drops it if `logBufferBytes` of others wait.
+void logAppend(std::string_view line);
+
+} // namespace rattanshunt::base
--- a/src/base/Time.h
+++ b/src/base/Time.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace rattanshunt::base {
 
@@ -17,6 +18,25 @@
 
 constexpr TimePoint timeNever = TimePoint::max();
 
+// Steady time that also counts while the machine is suspended. For rights and deadlines that end by time on another
+// machine too: Clock stands still in a suspension, and what it guards would seem younger than it is.
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    // Safe from any thread.
+    static time_point now()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+using BootTime = BootClock::time_point;
+
 // Length of `duration` in seconds, with fractions.
 inline double secondsOf(Duration duration)
 {
--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -4,11 +4,14 @@
 #include <gflags/gflags.h>
 
 #include "base/Log.h"
+#include "base/LogOutput.h"
 #include "cli/Client.h"
 #include "cli/Daemon.h"
+#include "cli/GatewayDaemon.h"
+#include "settings/GatewaySettings.h"
 #include "settings/Settings.h"
 
-DEFINE_bool(check, false, "only check the settings, for serve");
+DEFINE_bool(check, false, "only check the settings, for serve and gateway");
 
 namespace {
 
@@ -30,6 +33,25 @@
     return cli::daemonRun(settings);
 }
 
+int gateway(std::vector<rattanshunt::settings::SettingFault> faults)
+{
+    using namespace rattanshunt;
+    if (auto file = settings::settingsFile())
+        settings::settingsReadFile(*file, faults);
+    settings::GatewaySettings settings = settings::gatewaySettingsCheck(faults);
+    for (const settings::SettingFault& fault : faults)
+        std::cerr << settings::settingFaultText(fault) << "\n";
+    if (!faults.empty())
+        return exitUsage;
+    if (FLAGS_check) {
+        std::cout << "settings are valid\n";
+        return 0;
+    }
+    base::logSetup("rattanshunt", settings.logLevel);
+    base::logToStandardOutput();
+    return cli::gatewayRun(settings);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -47,7 +69,7 @@
         return 0;
     }
     std::vector<settings::SettingFault> faults;
-    if (first == "serve")
+    if (first == "serve" || first == "gateway")
         faults = settings::settingsFromEnvironment();
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::vector<std::string> words(argv + 1, argv + argc);
@@ -57,5 +79,7 @@
     }
     if (words[0] == "serve")
         return serve(std::move(faults));
+    if (words[0] == "gateway")
+        return gateway(std::move(faults));
     return cli::clientRun(words);
 }
--- /dev/null
+++ b/src/directory/Directory.cpp
@@ -0,0 +1,143 @@
+#include "directory/Directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace rattanshunt::directory {
+
+namespace {
+
+    std::string identifierOf(const gateway::Dialect& dialect, const std::string& key)
+    {
+        return key.substr(dialect.entryPrefix.size());
+    }
+
+    void removeReplica(Directory& directory, const std::string& id)
+    {
+        if (directory.replicas.erase(id))
+            directory.removed[id] = ++directory.stamp;
+    }
+
+    void applyEntry(Directory& directory, const gateway::Dialect& dialect, const RawEntry& raw,
+        std::vector<EntryFault>& faults)
+    {
+        RawEntry& known = directory.raw[raw.key];
+        if (known.revision > raw.revision)
+            return;
+        std::string id = identifierOf(dialect, raw.key);
+        auto found = directory.replicas.find(id);
+        if (known.revision == raw.revision && found != directory.replicas.end()) {
+            if (found->second.isLapsed) {
+                found->second.isLapsed = false;
+                found->second.stamp = ++directory.stamp;
+            }
+            return;
+        }
+        bool isNew = known.revision != raw.revision;
+        known = raw;
+        std::string fault;
+        auto entry = dialect.readEntry(raw.key, raw.value, fault);
+        if (!entry) {
+            if (isNew)
+                faults.push_back({ raw.key, fault });
+            removeReplica(directory, id);
+            return;
+        }
+        if (found != directory.replicas.end() && found->second.entry == *entry && !found->second.isLapsed) {
+            found->second.revision = raw.revision;
+            return;
+        }
+        Replica& replica = directory.replicas[id];
+        if (replica.entry.bornMillis != entry->bornMillis) {
+            // Another start: what was known of the one before does not hold.
+            replica.hasReport = false;
+            replica.placed.reset();
+            replica.coming.clear();
+        }
+        replica.entry = std::move(*entry);
+        replica.revision = raw.revision;
+        replica.isLapsed = false;
+        replica.stamp = ++directory.stamp;
+        directory.removed.erase(id);
+    }
+
+} // namespace
+
+std::vector<EntryFault> directoryApplyList(
+    Directory& directory, const gateway::Dialect& dialect, const std::vector<RawEntry>& list, bool mayBeLapsed)
+{
+    std::vector<EntryFault> faults;
+    std::set<std::string> present;
+    for (const RawEntry& raw : list) {
+        present.insert(raw.key);
+        applyEntry(directory, dialect, raw, faults);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, raw] : directory.raw) {
+        if (!present.contains(key))
+            missing.push_back(key);
+    }
+    for (const std::string& key : missing) {
+        std::string id = identifierOf(dialect, key);
+        auto found = directory.replicas.find(id);
+        if (mayBeLapsed && found != directory.replicas.end() && !found->second.entry.isDraining) {
+            found->second.isLapsed = true;
+            continue;
+        }
+        directory.raw.erase(key);
+        removeReplica(directory, id);
+    }
+    return faults;
+}
+
+std::vector<EntryFault> directoryApplyChanges(Directory& directory, const gateway::Dialect& dialect,
+    const std::vector<RawEntry>& changed, const std::vector<std::string>& removed)
+{
+    std::vector<EntryFault> faults;
+    for (const RawEntry& raw : changed)
+        applyEntry(directory, dialect, raw, faults);
+    for (const std::string& id : removed) {
+        directory.raw.erase(dialect.entryPrefix + id);
+        removeReplica(directory, id);
+    }
+    return faults;
+}
+
+bool directoryApplyReport(Directory& directory, const std::string& id, const gateway::ReplicaReport& report,
+    base::BootTime askedAt)
+{
+    auto found = directory.replicas.find(id);
+    if (found == directory.replicas.end() || found->second.entry.bornMillis != report.bornMillis)
+        return false;
+    Replica& replica = found->second;
+    if (replica.hasReport && replica.reportAt >= askedAt)
+        return false;
+    replica.hasReport = true;
+    replica.report = report;
+    replica.reportAt = askedAt;
+    return true;
+}
+
+const std::vector<gateway::HeldModel>& replicaModels(const Replica& replica)
+{
+    if (replica.placed)
+        return *replica.placed;
+    return replica.hasReport ? replica.report.models : replica.entry.models;
+}
+
+bool replicaHolds(const Replica& replica, const std::string& model, const std::string& adapter)
+{
+    for (const gateway::HeldModel& held : replicaModels(replica)) {
+        if (held.name != model)
+            continue;
+        return adapter.empty() || std::find(held.adapters.begin(), held.adapters.end(), adapter) != held.adapters.end();
+    }
+    return false;
+}
+
+bool replicaIsUsable(const Replica& replica)
+{
+    return !replica.entry.isDraining;
+}
+
+} // namespace rattanshunt::directory
--- /dev/null
+++ b/src/fabric/Fabric.cpp
@@ -0,0 +1,691 @@
+#include "fabric/Fabric.h"
+
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include "base/Counters.h"
+#include "base/Log.h"
+
+namespace rattanshunt::fabric {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr const char* hubKey = "rs/hub";
+    constexpr const char* ordererKey = "rs/orderer";
+    constexpr const char* secretKey = "rs/secret";
+    constexpr size_t secretBytes = 16;
+
+    constexpr base::Millis campaignSpread { 700 };   // over which candidates wait for a stronger one
+    constexpr base::Millis startInterval { 200 };    // between two reads while there is no hub yet
+    constexpr base::Millis memberSilence { 3000 };   // after which the hub no longer counts a member
+    constexpr base::Millis leaseMargin { 300 };      // before the lease's end, from which on nothing is ordered
+    constexpr base::Millis outageLeast { 300 };      // failures of the store shorter than this let nothing lapse
+    constexpr base::Millis grantWait { 150 };        // for the hub to grant usage
+    constexpr double rateTime = 5;                   // s over which arrivals are smoothed
+    constexpr double grantAhead = 2;                 // requests of this size that one grant covers
+
+    int64_t ageMillis(BootTime now, BootTime then)
+    {
+        return std::chrono::duration_cast<base::Millis>(now - then).count();
+    }
+
+    DemandTable demandFromJson(const Json& rows)
+    {
+        DemandTable table;
+        for (const Json& row : rows) {
+            DemandKey key { row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::string>() };
+            table[key] = { row.at(3).get<double>(), row.at(4).get<double>(), row.at(5).get<double>() };
+        }
+        return table;
+    }
+
+} // namespace
+
+Fabric::Fabric(net::Loop& loop, FabricOptions options, const gateway::Dialect& dialect, platform::Kv& kv)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(dialect)
+    , m_kv(kv)
+    , m_start(base::randomId())
+{
+}
+
+Fabric::~Fabric() = default;
+
+void Fabric::start()
+{
+    m_isRunning = true;
+    m_loop.spawn([this] {
+        run();
+        m_isRunning = false;
+    });
+}
+
+void Fabric::retire()
+{
+    m_isRetired = true;
+    if (!m_isHub)
+        return;
+    int64_t lease = m_lease;
+    resign("stopping");
+    m_kv.leaseRevoke(lease);
+}
+
+void Fabric::stop()
+{
+    retire();
+    m_isStopping = true;
+    m_wake.set();
+    while (m_isRunning)
+        net::sleepFor(base::Millis(10));
+    if (m_peers)
+        m_peers->close();
+}
+
+void Fabric::subscribe(std::function<void()> onChange)
+{
+    m_subscribers.push_back(std::move(onChange));
+}
+
+void Fabric::setDemandSource(std::function<DemandTable()> source)
+{
+    m_demandSource = std::move(source);
+}
+
+void Fabric::notify()
+{
+    for (auto& subscriber : m_subscribers)
+        subscriber();
+}
+
+void Fabric::hurry()
+{
+    m_wake.set();
+}
+
+size_t Fabric::memberCount() const
+{
+    return std::max<size_t>(1, m_memberCount);
+}
+
+bool Fabric::mayOrder(BootTime now) const
+{
+    return m_isHub && now >= m_ordersFrom && now < m_leaseUntil - leaseMargin;
+}
+
+void Fabric::placementChanged(const std::string& replica)
+{
+    auto found = m_directory.replicas.find(replica);
+    if (found != m_directory.replicas.end())
+        found->second.stamp = ++m_directory.stamp;
+    notify();
+}
+
+void Fabric::pause(base::Duration duration)
+{
+    if (m_isStopping)
+        return;
+    m_wake.waitUntil(base::Clock::now() + duration);
+    m_wake.reset();
+}
+
+void Fabric::run()
+{
+    while (!m_isStopping) {
+        if (m_isHub) {
+            readStore();
+            net::sleepFor(m_options.readInterval);
+            continue;
+        }
+        bool isSynced = m_hub && m_hub->name != m_options.name && m_peers && syncWith(m_hub->address, true);
+        if (m_hubAnswers != isSynced)
+            base::logEvent(LogLevel::Info, isSynced ? "hub.reached" : "hub.lost",
+                { { "hub", m_hub ? m_hub->name : "" }, { "knowledge_age_ms", ageMillis(BootClock::now(), m_provenAt) } });
+        m_hubAnswers = isSynced;
+        if (isSynced && BootClock::now() - m_provenAt < m_options.staleAge) {
+            pause(m_options.syncInterval);
+            // News travel at once, but not more often than this.
+            base::Duration since = BootClock::now() - m_lastSync;
+            if (since < m_options.urgentInterval && !m_isStopping)
+                net::sleepFor(m_options.urgentInterval - since);
+            continue;
+        }
+        bool hasRead = readStore();
+        if (!hasRead && !isSynced)
+            askAnybody();
+        campaign();
+        if (!m_isHub && !m_isStopping) {
+            bool isStarting = hasRead && !m_hub;
+            net::sleepFor(isStarting ? startInterval : m_hub && hasRead && !m_hubAnswers ? startInterval * 2 : m_options.directInterval);
+        }
+    }
+}
+
+// ---- The store ---------------------------------------------------------------------------------
+
+void Fabric::noteStore(bool isReachable)
+{
+    BootTime now = BootClock::now();
+    if (isReachable == m_storeIsReachable && m_hasReadStore)
+        return;
+    if (isReachable) {
+        if (m_hasReadStore && now - m_storeFailedSince > outageLeast)
+            m_storeBackAt = now;
+        m_hasReadStore = true;
+    } else
+        m_storeFailedSince = now;
+    if (isReachable != m_storeIsReachable)
+        base::logEvent(isReachable ? LogLevel::Info : LogLevel::Warning, isReachable ? "store.reached" : "store.lost",
+            { { "knowledge_age_ms", m_provenAt == BootTime {} ? -1 : ageMillis(now, m_provenAt) } });
+    m_storeIsReachable = isReachable;
+}
+
+void Fabric::noteFaults(const std::vector<directory::EntryFault>& faults)
+{
+    for (const directory::EntryFault& fault : faults)
+        base::logEvent(LogLevel::Warning, "replica.entry_unreadable", { { "key", fault.key }, { "why", fault.fault } });
+}
+
+bool Fabric::readStore()
+{
+    BootTime askedAt = BootClock::now();
+    platform::KvRangeResult all = m_kv.range("");
+    // A freeze during the call makes the answer older than the proof says; the age counts from the question.
+    noteStore(all.error == platform::KvError::None);
+    if (all.error != platform::KvError::None)
+        return false;
+    takeRecords(all, askedAt);
+    return true;
+}
+
+void Fabric::takeRecords(const platform::KvRangeResult& all, BootTime askedAt)
+{
+    if (askedAt < m_provenAt)
+        return;
+    std::vector<directory::RawEntry> entries;
+    std::optional<HubRecord> hub;
+    std::string secret;
+    for (const platform::KvEntry& entry : all.entries) {
+        if (entry.key == m_dialect.configurationKey)
+            takeConfiguration(entry.value, entry.modRevision);
+        else if (entry.key.starts_with(m_dialect.entryPrefix))
+            entries.push_back({ entry.key, entry.value, entry.modRevision });
+        else if (entry.key == secretKey)
+            secret = entry.value;
+        else if (entry.key == hubKey) {
+            Json json = Json::parse(entry.value, nullptr, false);
+            auto address = json.is_object() ? base::parseAddress(json.value("address", "")) : std::nullopt;
+            if (address)
+                hub = HubRecord { json.value("name", ""), *address, json.value("start", ""), entry.createRevision,
+                    entry.modRevision, entry.lease };
+        }
+    }
+    uint64_t before = m_directory.stamp;
+    BootTime now = BootClock::now();
+    bool mayBeLapsed = m_storeBackAt != BootTime {} && now - m_storeBackAt < directory::lapseGrace;
+    noteFaults(directory::directoryApplyList(m_directory, m_dialect, entries, mayBeLapsed));
+    m_provenAt = askedAt;
+    m_lastRead = askedAt;
+    if (!secret.empty())
+        ensurePeers(secret);
+    if (!hub && m_hub)
+        m_hubMissingSince = now;
+    if (m_hub && hub && hub->start != m_hub->start)
+        base::logEvent(LogLevel::Info, "hub.changed", { { "hub", hub->name }, { "before", m_hub->name } });
+    m_hub = hub;
+    if (m_isHub && (!hub || hub->start != m_start))
+        resign("another hub holds the record");
+    if (m_directory.stamp != before)
+        notify();
+}
+
+void Fabric::takeConfiguration(const std::string& value, int64_t revision)
+{
+    if (revision <= m_configurationRevision)
+        return;
+    m_configurationRevision = revision;
+    m_configurationValue = value;
+    std::string fault;
+    auto configuration = m_dialect.readConfiguration(value, fault);
+    if (!configuration) {
+        base::logEvent(LogLevel::Error, "configuration.unreadable", { { "revision", revision }, { "why", fault } });
+        return;
+    }
+    base::logEvent(LogLevel::Info, "configuration.in_force",
+        { { "version", configuration->version }, { "revision", revision }, { "routes", configuration->routes.size() } });
+    m_configuration = configuration;
+    notify();
+}
+
+void Fabric::ensurePeers(const std::string& secret)
+{
+    if (m_peers)
+        return;
+    net::PeerOptions options;
+    options.name = m_options.name;
+    options.secret = secret;
+    m_peers = std::make_unique<net::PeerNetwork>(m_loop, options);
+    std::string error;
+    bool isListening = m_peers->listen(
+        m_options.peerAddress,
+        [this](const std::string& from, const std::string& method, const Json& body) {
+            return answer(from, method, body);
+        },
+        error);
+    if (!isListening)
+        base::logEvent(LogLevel::Error, "peer.listen_failed",
+            { { "address", base::formatAddress(m_options.peerAddress) }, { "why", error } });
+}
+
+// ---- The hub -----------------------------------------------------------------------------------
+
+void Fabric::campaign()
+{
+    BootTime now = BootClock::now();
+    if (m_isHub || m_isStopping || m_isRetired || !m_storeIsReachable || now - m_lastRead > m_options.directInterval)
+        return;
+    bool isOwnOld = m_hub && m_hub->name == m_options.name && m_hub->start != m_start;
+    if (m_hub && !isOwnOld)
+        return;
+    if (!isOwnOld) {
+        double luck = static_cast<double>(base::stableHash(m_options.name, base::stableHash(m_start)) % 1000) / 1000;
+        double weakness = 1 / (1 + 4 * m_options.strength);
+        auto wait = base::durationOf(base::secondsOf(campaignSpread) * (0.7 * luck + 0.3 * weakness));
+        net::sleepFor(wait);
+        auto current = m_kv.get(hubKey);
+        if (current.error != platform::KvError::None || !current.entries.empty() || m_isStopping || m_isRetired)
+            return;
+    }
+    BootTime askedAt = BootClock::now();
+    auto granted = m_kv.leaseGrant(m_options.leaseTime);
+    if (granted.error != platform::KvError::None)
+        return;
+    Json record { { "name", m_options.name }, { "address", base::formatAddress(m_options.peerAddress) },
+        { "start", m_start } };
+    // The former start of this daemon gave the last orders, so its record may be replaced before its lease ends.
+    int64_t expected = isOwnOld ? m_hub->modRevision : 0;
+    auto written = m_kv.txn({ { hubKey, expected } }, { { hubKey, record.dump(), granted.lease } });
+    if (written.error != platform::KvError::None || !written.isApplied) {
+        base::logEvent(LogLevel::Info, "hub.not_elected",
+            { { "why", written.error == platform::KvError::None ? "another daemon was first" : "no answer" } });
+        return;
+    }
+    becomeHub(granted.lease, askedAt, written.revision);
+}
+
+void Fabric::becomeHub(int64_t lease, BootTime askedAt, int64_t revision)
+{
+    m_isHub = true;
+    m_lease = lease;
+    m_leaseUntil = askedAt + m_options.leaseTime;
+    m_fencingToken = revision;
+    m_members.clear();
+    m_rates.clear();
+    m_ratesAt = BootClock::now();
+    m_grantBook = {};
+    m_ordersFrom = BootTime::max();
+    base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
+    m_loop.spawn([this] { renewLoop(); });
+
+    auto orderer = m_kv.get(ordererKey);
+    auto secret = m_kv.get(secretKey);
+    if (!m_isHub)
+        return;
+    if (secret.error == platform::KvError::None && secret.entries.empty()) {
+        std::string fresh = base::hexEncode(base::randomBytes(secretBytes));
+        if (m_kv.txn({ { secretKey, 0 } }, { { secretKey, fresh, 0 } }).isApplied)
+            ensurePeers(fresh);
+    }
+    BootTime now = BootClock::now();
+    bool isKnown = orderer.error == platform::KvError::None;
+    bool isFirst = isKnown && orderer.entries.empty();
+    bool wasSelf = isKnown && !orderer.entries.empty() && orderer.entries[0].value == m_options.name;
+    if (!wasSelf) {
+        int64_t expected = isFirst || !isKnown ? 0 : orderer.entries[0].modRevision;
+        auto written = m_kv.txn({ { ordererKey, expected } }, { { ordererKey, m_options.name, 0 } });
+        if (!written.isApplied) {
+            // Without this record the next hub would not know whose orders to wait for.
+            int64_t ended = m_lease;
+            resign("the orderer's record was not written");
+            m_kv.leaseRevoke(ended);
+            return;
+        }
+    }
+    m_ordersFrom = isFirst || wasSelf ? now : now + m_options.orderGap;
+}
+
+void Fabric::resign(const char* why)
+{
+    if (!m_isHub)
+        return;
+    m_isHub = false;
+    m_hub.reset();
+    m_leaseUntil = {};
+    base::logEvent(LogLevel::Warning, "hub.resigned", { { "why", why }, { "fencing_token", m_fencingToken } });
+    m_wake.set();
+}
+
+void Fabric::renewLoop()
+{
+    int64_t lease = m_lease;
+    while (m_isHub && m_lease == lease) {
+        net::sleepFor(base::Millis(m_options.leaseTime) / 4);
+        if (!m_isHub || m_lease != lease)
+            return;
+        BootTime askedAt = BootClock::now();
+        auto renewed = m_kv.leaseRenew(lease);
+        if (!m_isHub || m_lease != lease)
+            return;
+        if (renewed.error == platform::KvError::None && renewed.lease == lease)
+            m_leaseUntil = std::max(m_leaseUntil, askedAt + m_options.leaseTime);
+        else if (renewed.error == platform::KvError::None)
+            return resign("the lease has ended");
+        if (BootClock::now() >= m_leaseUntil)
+            return resign("the lease could not be renewed");
+    }
+}
+
+Json Fabric::answer(const std::string& from, const std::string& method, const Json& body)
+{
+    if (method == "sync" && body.is_object()) {
+        try {
+            return answerSync(from, body);
+        } catch (const std::exception& error) {
+            base::logEvent(LogLevel::Warning, "peer.call_unreadable", { { "peer", from }, { "why", error.what() } });
+            return Json(Json::value_t::discarded);
+        }
+    }
+    if (method == "grant" && body.is_object()) {
+        BootTime now = BootClock::now();
+        if (!m_isHub || now >= m_leaseUntil || !m_configuration)
+            return Json { { "hub", false } };
+        auto account = m_configuration->accounts.find(body.value("account", ""));
+        if (account == m_configuration->accounts.end())
+            return Json { { "hub", true }, { "tokens", 0.0 } };
+        quota::AccountLimit limit { account->second.rate, account->second.burst, m_options.quotaSlack };
+        double need = body.value("need", 0.0);
+        double tokens = 0;
+        for (double wanted : { need * grantAhead, need }) {
+            if (tokens == 0 && quota::bookTake(m_grantBook, account->first, limit, wanted, now))
+                tokens = wanted;
+        }
+        return Json { { "hub", true }, { "tokens", tokens } };
+    }
+    return Json(Json::value_t::discarded);
+}
+
+void Fabric::takeDemand(HubMember& member, DemandTable demand, BootTime now)
+{
+    double decay = std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_ratesAt)) / rateTime);
+    for (auto& [key, rate] : m_rates)
+        rate *= decay;
+    m_ratesAt = now;
+    for (const auto& [key, row] : demand)
+        m_rates[key] += row.arrivals / rateTime;
+    member.demand = std::move(demand);
+    member.lastSeen = now;
+}
+
+Json Fabric::answerSync(const std::string& from, const Json& body)
+{
+    BootTime now = BootClock::now();
+    if (m_isHub && now < m_leaseUntil) {
+        auto address = base::parseAddress(body.value("address", ""));
+        HubMember& member = m_members[from];
+        if (address)
+            member.address = *address;
+        takeDemand(member, demandFromJson(body.value("demand", Json::array())), now);
+        Json unused = body.value("unused", Json::object());
+        for (auto& [account, tokens] : unused.items())
+            quota::bookGiveBack(m_grantBook, account, tokens.get<double>());
+        std::erase_if(m_members, [&](auto& item) { return now - item.second.lastSeen > memberSilence; });
+        m_memberCount = m_members.size() + (m_members.contains(m_options.name) ? 0 : 1);
+    }
+    return describe(body, now);
+}
+
+// What this daemon knows that the asker does not.
+Json Fabric::describe(const Json& asked, BootTime now)
+{
+    Json reply { { "start", m_start }, { "hub", m_isHub && now < m_leaseUntil }, { "stamp", m_directory.stamp },
+        { "members", m_memberCount } };
+    if (m_provenAt == BootTime {})
+        return reply;
+    reply["age_us"] = std::chrono::duration_cast<base::Micros>(now - m_provenAt).count();
+    if (asked.value("configuration", int64_t(0)) < m_configurationRevision) {
+        reply["configuration"] = m_configurationRevision;
+        reply["configuration_value"] = Json::binary({ m_configurationValue.begin(), m_configurationValue.end() });
+    }
+    if (m_hub && !m_isHub)
+        reply["hub_address"] = base::formatAddress(m_hub->address);
+    bool isSame = asked.value("start", "") == m_start;
+    uint64_t since = isSame ? asked.value("stamp", uint64_t(0)) : 0;
+    reply["whole"] = !isSame;
+    Json entries = Json::array();
+    Json placed = Json::array();
+    Json loads = Json::array();
+    for (const auto& [id, replica] : m_directory.replicas) {
+        if (replica.stamp > since) {
+            auto raw = m_directory.raw.find(m_dialect.entryPrefix + id);
+            if (raw != m_directory.raw.end())
+                entries.push_back({ raw->first, raw->second.value, raw->second.revision });
+            Json models = Json::array();
+            for (const gateway::HeldModel& held : directory::replicaModels(replica))
+                models.push_back({ held.name, held.adapters });
+            Json coming = Json::array();
+            for (const directory::ComingModel& model : replica.coming)
+                coming.push_back({ model.model, ageMillis(model.readyAt, now) });
+            placed.push_back({ id, replica.entry.bornMillis, models, coming });
+        }
+        if (replica.hasReport)
+            loads.push_back({ id, replica.entry.bornMillis, replica.report.running, replica.report.waiting,
+                ageMillis(now, replica.reportAt) });
+    }
+    reply["entries"] = std::move(entries);
+    reply["placed"] = std::move(placed);
+    reply["loads"] = std::move(loads);
+    Json removed = Json::array();
+    for (const auto& [id, stamp] : m_directory.removed) {
+        if (stamp > since)
+            removed.push_back(id);
+    }
+    reply["removed"] = std::move(removed);
+    if (m_isHub && asked.value("members", size_t(0)) != m_memberCount) {
+        Json addresses = Json::object();
+        for (const auto& [name, member] : m_members)
+            addresses[name] = base::formatAddress(member.address);
+        reply["addresses"] = std::move(addresses);
+    }
+    return reply;
+}
+
+DemandTable Fabric::collectDemand(BootTime now)
+{
+    DemandTable table;
+    takeDemand(m_members[m_options.name], m_demandSource ? m_demandSource() : DemandTable {}, now);
+    for (const auto& [key, rate] : m_rates)
+        table[key].arrivals = rate;
+    for (const auto& [name, member] : m_members) {
+        if (now - member.lastSeen > memberSilence)
+            continue;
+        for (const auto& [key, demand] : member.demand) {
+            table[key].waiting += demand.waiting;
+            table[key].worth += demand.worth;
+        }
+    }
+    return table;
+}
+
+// ---- A member ----------------------------------------------------------------------------------
+
+Json Fabric::syncBody()
+{
+    Json demand = Json::array();
+    if (m_demandSource) {
+        for (const auto& [key, row] : m_demandSource())
+            demand.push_back({ key.service, key.model, key.adapter, row.waiting, row.worth, row.arrivals });
+    }
+    return Json { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubStart },
+        { "stamp", m_hubStamp }, { "configuration", m_configurationRevision }, { "demand", std::move(demand) },
+        { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
+}
+
+bool Fabric::syncWith(const base::Address& address, bool isHub)
+{
+    BootTime askedAt = BootClock::now();
+    m_lastSync = askedAt;
+    Json body = isHub ? syncBody() : Json { { "configuration", m_configurationRevision } };
+    if (isHub) {
+        Json unused = Json::object();
+        for (auto& [account, share] : m_grants.shares) {
+            // A grant that has not been spent since the last call goes back.
+            if (share.granted > 0)
+                unused[account] = std::exchange(share.granted, 0);
+        }
+        if (!unused.empty())
+            body["unused"] = std::move(unused);
+    }
+    net::PeerResult result = m_peers->call(address, "sync", body, base::Clock::now() + m_options.syncTime);
+    if (result.error != net::PeerError::None || !result.body.is_object())
+        return false;
+    try {
+        if (isHub && !result.body.value("hub", false))
+            return false;
+        takeSync(result.body, askedAt, isHub);
+    } catch (const std::exception& error) {
+        base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
+            { { "peer", base::formatAddress(address) }, { "why", error.what() } });
+        return false;
+    }
+    return true;
+}
+
+void Fabric::takeSync(const Json& body, BootTime askedAt, bool isHub)
+{
+    if (!body.contains("age_us"))
+        return;
+    BootTime provenAt = askedAt - base::Micros(body.at("age_us").get<int64_t>());
+    if (body.contains("configuration_value")) {
+        const auto& bytes = body.at("configuration_value").get_binary();
+        takeConfiguration(std::string(bytes.begin(), bytes.end()), body.at("configuration").get<int64_t>());
+    }
+    uint64_t before = m_directory.stamp;
+    // Older knowledge must not bring back replicas that have gone since.
+    bool isNewer = provenAt >= m_provenAt;
+    if (isNewer || isHub) {
+        std::vector<directory::RawEntry> entries;
+        std::set<std::string> present;
+        for (const Json& row : body.at("entries")) {
+            entries.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<int64_t>() });
+            present.insert(entries.back().key);
+        }
+        std::vector<std::string> removed;
+        if (isNewer) {
+            removed = body.at("removed").get<std::vector<std::string>>();
+            if (body.at("whole").get<bool>()) {
+                for (const auto& [id, replica] : m_directory.replicas) {
+                    if (!present.contains(m_dialect.entryPrefix + id))
+                        removed.push_back(id);
+                }
+            }
+        }
+        noteFaults(directory::directoryApplyChanges(m_directory, m_dialect, entries, removed));
+    }
+    for (const Json& row : body.at("placed")) {
+        auto found = m_directory.replicas.find(row.at(0).get<std::string>());
+        if (found == m_directory.replicas.end() || found->second.entry.bornMillis != row.at(1).get<int64_t>())
+            continue;
+        std::vector<gateway::HeldModel> models;
+        for (const Json& model : row.at(2))
+            models.push_back({ model.at(0).get<std::string>(), model.at(1).get<std::vector<std::string>>() });
+        found->second.placed = std::move(models);
+        found->second.coming.clear();
+        for (const Json& coming : row.at(3))
+            found->second.coming.push_back(
+                { coming.at(0).get<std::string>(), askedAt + base::Millis(coming.at(1).get<int64_t>()) });
+        found->second.stamp = ++m_directory.stamp;
+    }
+    for (const Json& row : body.at("loads")) {
+        auto found = m_directory.replicas.find(row.at(0).get<std::string>());
+        if (found == m_directory.replicas.end() || found->second.entry.bornMillis != row.at(1).get<int64_t>())
+            continue;
+        gateway::ReplicaReport report;
+        report.bornMillis = row.at(1).get<int64_t>();
+        report.running = row.at(2).get<double>();
+        report.waiting = row.at(3).get<double>();
+        report.models = directory::replicaModels(found->second);
+        directory::directoryApplyReport(
+            m_directory, row.at(0).get<std::string>(), report, askedAt - base::Millis(row.at(4).get<int64_t>()));
+    }
+    if (isHub) {
+        m_hubStart = body.at("start").get<std::string>();
+        m_hubStamp = body.at("stamp").get<uint64_t>();
+        m_memberCount = body.at("members").get<size_t>();
+        if (body.contains("addresses")) {
+            m_memberAddresses.clear();
+            for (auto& [name, address] : body.at("addresses").items()) {
+                if (auto parsed = base::parseAddress(address.get<std::string>()))
+                    m_memberAddresses[name] = *parsed;
+            }
+        }
+    } else if (body.contains("hub_address") && !m_storeIsReachable) {
+        if (auto address = base::parseAddress(body.at("hub_address").get<std::string>()))
+            m_hub = HubRecord { "", *address, "", 0, 0, 0 };
+    }
+    m_provenAt = std::max(m_provenAt, provenAt);
+    if (m_directory.stamp != before)
+        notify();
+}
+
+// For a daemon that reaches neither the store nor the hub: any other may know more.
+bool Fabric::askAnybody()
+{
+    if (!m_peers || m_memberAddresses.empty())
+        return false;
+    size_t skip = base::stableHash(base::randomBytes(4)) % m_memberAddresses.size();
+    auto chosen = std::next(m_memberAddresses.begin(), static_cast<std::ptrdiff_t>(skip));
+    if (chosen->first == m_options.name)
+        return false;
+    return syncWith(chosen->second, false);
+}
+
+// ---- Usage -------------------------------------------------------------------------------------
+
+bool Fabric::quotaTake(const gateway::Account& account, double tokens)
+{
+    if (account.rate <= 0)
+        return true;
+    BootTime now = BootClock::now();
+    quota::AccountLimit limit { account.rate, account.burst, m_options.quotaSlack };
+    if (m_isHub && now < m_leaseUntil)
+        return quota::bookTake(m_grantBook, account.name, limit, tokens, now);
+    if (quota::grantSpend(m_grants, account.name, tokens))
+        return true;
+    if (m_hub && m_hubAnswers && m_peers) {
+        net::PeerResult result = m_peers->call(m_hub->address, "grant",
+            Json { { "account", account.name }, { "need", tokens } }, base::Clock::now() + grantWait);
+        if (result.error == net::PeerError::None && result.body.is_object() && result.body.value("hub", false)) {
+            double granted = result.body.value("tokens", 0.0);
+            m_grants.shares[account.name].granted += granted;
+            return quota::grantSpend(m_grants, account.name, tokens);
+        }
+    }
+    base::counterAdd("quota_decided_alone_total");
+    return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), BootClock::now());
+}
+
+void Fabric::quotaGiveBack(const std::string& account, double tokens)
+{
+    if (m_isHub)
+        quota::bookGiveBack(m_grantBook, account, tokens);
+    else
+        m_grants.shares[account].granted += tokens;
+}
+
+} // namespace rattanshunt::fabric
--- /dev/null
+++ b/src/fabric/Fabric.h
@@ -0,0 +1,212 @@
+// What a daemon knows of the fleet, and how it comes to know it.
+//
+// Contents
+//   [1] Data            FabricOptions, Demand, HubView
+//   [2] Fabric          configuration, replicas, freshness, the hub and its members
+//
+// One daemon, the hub, holds a lease in the platform's store. It reads the whole store at a steady pace, and the others
+// ask it for what has changed: calls to the store do not grow with the number of daemons. The hub also adds up demand
+// and grants usage, and it alone orders models. Whoever can't reach the hub reads the store itself; whoever reaches
+// neither asks any other daemon. All knowledge carries the time at which a linearizable read of the store that proves
+// it was sent, so that configuration never serves beyond its age, whatever way it came.
+//
+// What lasts in the store:
+//   rs/hub       {name, address, start}, under the hub's lease; its creation revision is the fencing token
+//   rs/orderer   {name}, without a lease: who gave orders last; another one waits before it gives any
+//   rs/secret    the secret by which daemons know each other, written once
+//
+// Q: Why a full read and no watch?  A: A read proves freshness and survives lost history; a silent watch proves nothing.
+// Q: What does a daemon do while the store is away?  A: It serves on what it knows up to the age limit; replicas whose
+//    entries lapse meanwhile stay, see directory/Directory.h.
+//
+// Own thread only.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "directory/Directory.h"
+#include "gateway/Dialect.h"
+#include "net/PeerLink.h"
+#include "platform/Kv.h"
+#include "quota/Grants.h"
+
+namespace rattanshunt::fabric {
+
+// ---- [1] Data ----------------------------------------------------------------------------------
+
+struct FabricOptions {
+    std::string name;
+    std::string dataCenter;
+    base::Address peerAddress;
+    double strength = 1;                 // share of a core: strong daemons become hub first
+    base::Millis readInterval { 600 };   // between two reads of the store by the hub
+    base::Millis directInterval { 900 }; // by a daemon without a hub
+    base::Millis syncInterval { 300 };   // between two calls to the hub, without urgent news
+    base::Millis urgentInterval { 60 };  // between two calls with urgent news
+    base::Millis syncTime { 500 };       // for one call to the hub
+    base::Seconds leaseTime { 2 };       // of the hub; a dead hub is replaced after it
+    base::Millis orderGap { 3000 };      // between the last order of one hub and the first of another
+    base::Millis staleAge { 1600 };      // age of the hub's knowledge beyond which a daemon reads the store itself
+    double quotaSlack = 0;               // tokens that the fleet may grant beyond an account's burst
+};
+
+// Requests of one kind, as one daemon sees them.
+struct Demand {
+    double waiting = 0;  // requests that wait for a replica now
+    double worth = 0;    // the sum of their weights
+    double arrivals = 0; // since the last report
+};
+
+struct DemandKey {
+    std::string service;
+    std::string model;
+    std::string adapter;
+
+    auto operator<=>(const DemandKey&) const = default;
+};
+
+using DemandTable = std::map<DemandKey, Demand>;
+
+struct HubMember {
+    base::Address address;
+    base::BootTime lastSeen {};
+    DemandTable demand; // arrivals are added up in Fabric
+};
+
+// ---- [2] Fabric --------------------------------------------------------------------------------
+
+class Fabric {
+public:
+    Fabric(net::Loop&, FabricOptions, const gateway::Dialect&, platform::Kv&);
+    ~Fabric();
+
+    // -- commands --
+    void start();
+    void retire(); // gives the lease up and does not ask for it again; knowledge stays current. Suspends.
+    void stop();   // ends everything; suspends
+
+    // Called after each change of configuration, replicas or placement. Must not suspend.
+    void subscribe(std::function<void()> onChange);
+
+    // Gives the demand of this daemon when asked; called at each sync.
+    void setDemandSource(std::function<DemandTable()>);
+
+    // Asks for a sync soon. Does not suspend.
+    void hurry();
+
+    // Takes `tokens` of an account's usage. Suspends for a call to the hub if this daemon's grant does not cover it.
+    bool quotaTake(const gateway::Account&, double tokens);
+    void quotaGiveBack(const std::string& account, double tokens);
+
+    // The fleet's demand, this daemon's included: what waits now, and arrivals a second, smoothed. Hub only.
+    DemandTable collectDemand(base::BootTime now);
+
+    // Gives the lease up for good cause: another holder's orders were seen.
+    void resign(const char* why);
+
+    // Tells members of a change in placement. Call after writing to replicas in directory().
+    void placementChanged(const std::string& replica);
+
+    // -- queries --
+    gateway::ConfigurationPointer configuration() const { return m_configuration; }
+    directory::Directory& directory() { return m_directory; }
+    base::BootTime provenAt() const { return m_provenAt; } // the knowledge was true at this time or later
+    size_t memberCount() const;
+    bool isHub() const { return m_isHub; }
+    bool mayOrder(base::BootTime now) const; // holds the lease for sure, and nobody else's orders are recent
+    int64_t fencingToken() const { return m_fencingToken; }
+    bool storeIsReachable() const { return m_storeIsReachable; }
+
+    const FabricOptions& options() const { return m_options; }
+
+private:
+    struct HubRecord {
+        std::string name;
+        base::Address address;
+        std::string start;
+        int64_t createRevision = 0;
+        int64_t modRevision = 0;
+        int64_t lease = 0;
+    };
+
+    void run();
+    void pause(base::Duration);
+
+    // -- the store --
+    bool readStore();
+    void takeRecords(const platform::KvRangeResult&, base::BootTime askedAt);
+    void takeConfiguration(const std::string& value, int64_t revision);
+    void noteStore(bool isReachable);
+    void noteFaults(const std::vector<directory::EntryFault>&);
+
+    // -- the hub --
+    void campaign();
+    void becomeHub(int64_t lease, base::BootTime askedAt, int64_t createRevision);
+    void renewLoop();
+    nlohmann::json answer(const std::string& from, const std::string& method, const nlohmann::json& body);
+    nlohmann::json answerSync(const std::string& from, const nlohmann::json& body);
+    nlohmann::json describe(const nlohmann::json& asked, base::BootTime now);
+    void takeDemand(HubMember&, DemandTable, base::BootTime now);
+
+    // -- a member --
+    bool syncWith(const base::Address&, bool isHub);
+    nlohmann::json syncBody();
+    void takeSync(const nlohmann::json& body, base::BootTime askedAt, bool isHub);
+    bool askAnybody();
+    void ensurePeers(const std::string& secret);
+    void notify();
+
+    net::Loop& m_loop;
+    FabricOptions m_options;
+    const gateway::Dialect& m_dialect;
+    platform::Kv& m_kv;
+    std::string m_start; // of this process
+    std::unique_ptr<net::PeerNetwork> m_peers;
+    std::vector<std::function<void()>> m_subscribers;
+    std::function<DemandTable()> m_demandSource;
+    net::Event m_wake;
+    bool m_isStopping = false;
+    bool m_isRetired = false;
+    bool m_isRunning = false;
+    base::BootTime m_lastSync {};
+
+    gateway::ConfigurationPointer m_configuration;
+    std::string m_configurationValue;
+    int64_t m_configurationRevision = 0;
+    directory::Directory m_directory;
+    base::BootTime m_provenAt {};
+
+    bool m_storeIsReachable = false;
+    bool m_hasReadStore = false;
+    base::BootTime m_storeFailedSince {};
+    base::BootTime m_storeBackAt {};
+    base::BootTime m_lastRead {};
+
+    std::optional<HubRecord> m_hub;
+    bool m_hubAnswers = false;
+    std::string m_hubStart;       // whose stamps the directory follows
+    uint64_t m_hubStamp = 0;
+    base::BootTime m_hubMissingSince {};
+    std::map<std::string, base::Address> m_memberAddresses; // last told by the hub
+    size_t m_memberCount = 1;
+
+    bool m_isHub = false;
+    int64_t m_lease = 0;
+    base::BootTime m_leaseUntil {};
+    int64_t m_fencingToken = 0;
+    base::BootTime m_ordersFrom {};
+    std::map<std::string, HubMember> m_members; // hub only
+    std::map<DemandKey, double> m_rates;        // hub only: arrivals a second, decaying
+    base::BootTime m_ratesAt {};
+    quota::GrantBook m_grantBook;               // hub only
+    quota::LocalGrants m_grants;
+};
+
+} // namespace rattanshunt::fabric
--- /dev/null
+++ b/src/gateway/Configuration.cpp
@@ -0,0 +1,67 @@
+#include "gateway/Configuration.h"
+
+#include <algorithm>
+
+namespace rattanshunt::gateway {
+
+void configurationIndex(Configuration& configuration)
+{
+    configuration.routesByHost.clear();
+    for (size_t i = 0; i < configuration.routes.size(); ++i)
+        configuration.routesByHost[configuration.routes[i].host].push_back(i);
+    for (auto& [host, indexes] : configuration.routesByHost) {
+        std::stable_sort(indexes.begin(), indexes.end(), [&](size_t a, size_t b) {
+            return configuration.routes[a].prefix.size() > configuration.routes[b].prefix.size();
+        });
+    }
+    configuration.accountByKey.clear();
+    for (const auto& [name, account] : configuration.accounts) {
+        for (const std::string& key : account.keys)
+            configuration.accountByKey[key] = name;
+    }
+}
+
+const Route* routeFind(const Configuration& configuration, std::string_view host, std::string_view path)
+{
+    host = host.substr(0, host.find(':'));
+    path = path.substr(0, path.find('?'));
+    auto found = configuration.routesByHost.find(std::string(host));
+    if (found == configuration.routesByHost.end())
+        return nullptr;
+    for (size_t index : found->second) {
+        const Route& route = configuration.routes[index];
+        if (path.starts_with(route.prefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+const Service* serviceDraw(const Configuration& configuration, const Route& route, double draw)
+{
+    double sum = 0;
+    for (const ServiceWeight& part : route.services)
+        sum += part.weight;
+    double left = draw * sum;
+    const Service* last = nullptr;
+    for (const ServiceWeight& part : route.services) {
+        auto found = configuration.services.find(part.service);
+        if (found == configuration.services.end() || part.weight <= 0)
+            continue;
+        last = &found->second;
+        left -= part.weight;
+        if (left < 0)
+            break;
+    }
+    return last;
+}
+
+const Account* accountOfKey(const Configuration& configuration, std::string_view key)
+{
+    auto found = configuration.accountByKey.find(std::string(key));
+    if (found == configuration.accountByKey.end())
+        return nullptr;
+    auto account = configuration.accounts.find(found->second);
+    return account == configuration.accounts.end() ? nullptr : &account->second;
+}
+
+} // namespace rattanshunt::gateway
--- /dev/null
+++ b/src/gateway/Gateway.cpp
@@ -0,0 +1,460 @@
+#include "gateway/Gateway.h"
+
+#include <cmath>
+
+#include "base/Counters.h"
+#include "base/Log.h"
+
+namespace rattanshunt::gateway {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+
+namespace {
+
+    constexpr int urgencyFirst = 2; // of the most urgent requests; 0 and 1 stay free
+    constexpr int urgencyLast = 9;
+
+    fabric::DemandKey demandKey(const Session& session)
+    {
+        return { session.service->name, session.head.model, session.head.adapter };
+    }
+
+    // The prompt's shared parts: all but the last, which is the request's own.
+    uint64_t affinityOf(const RequestHead& head)
+    {
+        if (head.prompt.size() < 2)
+            return 0;
+        std::string text = head.model + "/" + head.adapter;
+        for (size_t i = 0; i + 1 < head.prompt.size(); ++i)
+            text += "," + head.prompt[i].id;
+        return base::stableHash(text) | 1;
+    }
+
+    int64_t millisSince(BootTime now, BootTime then)
+    {
+        return std::chrono::duration_cast<base::Millis>(now - then).count();
+    }
+
+} // namespace
+
+Gateway::Gateway(net::Loop& loop, GatewayOptions options, const Dialect& dialect, fabric::Fabric& fabric)
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_dialect(dialect)
+    , m_fabric(fabric)
+    , m_channels(loop, m_options.channels)
+{
+}
+
+bool Gateway::listen(const base::Address& address, std::string& error)
+{
+    net::HttpServerEvents events;
+    events.onRequest = [this](net::HttpExchange& exchange) { serve(exchange); };
+    events.onMalformed = [this](int status, std::string_view reason) {
+        base::logEvent(LogLevel::Info, "request.malformed", { { "status", status }, { "why", reason } });
+        return m_dialect.ownAnswer(status, reason, std::nullopt, "");
+    };
+    events.isDraining = [this] { return m_isDraining; };
+    net::HttpServerLimits limits;
+    CallerLimits known;
+    limits.bodyBytes = known.bodyBytes;
+    limits.idleTime = known.idleTime;
+    m_server = net::httpServe(m_loop, address, limits, events, error);
+    if (!m_server)
+        return false;
+    m_fabric.subscribe([this] {
+        if (auto configuration = m_fabric.configuration()) {
+            net::HttpServerLimits changed;
+            changed.headerBytes = configuration->limits.headerBytes;
+            changed.bodyBytes = configuration->limits.bodyBytes;
+            changed.headerTime = configuration->limits.headerTime;
+            changed.idleTime = configuration->limits.idleTime;
+            m_server->setLimits(changed);
+        }
+        wakeWaiting();
+    });
+    m_fabric.setDemandSource([this] { return takeDemand(); });
+    m_loop.spawn([this] {
+        while (!m_isDraining) {
+            net::sleepFor(m_options.sweepInterval);
+            m_channels.sweep();
+            std::erase_if(m_uses, [&](auto& item) {
+                return item.second.ownNow == 0 && !m_fabric.directory().replicas.contains(item.first);
+            });
+        }
+    });
+    return true;
+}
+
+void Gateway::beginDrain()
+{
+    m_isDraining = true;
+}
+
+void Gateway::stopAccepting()
+{
+    m_server->stopAccepting();
+}
+
+void Gateway::closeAll()
+{
+    m_server->closeAll();
+}
+
+void Gateway::reconfigure(const GatewayOptions& options)
+{
+    m_options = options;
+}
+
+bool Gateway::mayServe(BootTime now) const
+{
+    return m_fabric.configuration() && now - m_fabric.provenAt() < m_options.revokeLimit;
+}
+
+fabric::DemandTable Gateway::takeDemand()
+{
+    fabric::DemandTable table;
+    for (auto& [key, arrivals] : m_arrivals)
+        table[key].arrivals = arrivals;
+    m_arrivals.clear();
+    for (Session* session : m_waiting) {
+        fabric::Demand& row = table[demandKey(*session)];
+        row.waiting += 1;
+        row.worth += session->weight;
+    }
+    return table;
+}
+
+void Gateway::wakeWaiting()
+{
+    for (Session* session : m_waiting)
+        session->wake.set();
+}
+
+// ---- Answers of our own ------------------------------------------------------------------------
+
+void Gateway::note(const Session& session, int status, const char* outcome, const char* why)
+{
+    BootTime now = BootClock::now();
+    base::counterAddLabelled("requests_total", "outcome", outcome);
+    base::logEvent(LogLevel::Info, "request.end",
+        { { "id", session.head.id }, { "route", session.route ? session.route->name : "" },
+            { "account", session.account }, { "model", session.head.model }, { "adapter", session.head.adapter },
+            { "status", status }, { "outcome", outcome }, { "why", why },
+            { "took_ms", millisSince(now, session.arrivedAt) }, { "left_ms", millisSince(session.deadline, now) },
+            { "attempts", session.progress.attemptsSent }, { "events", session.events.passed },
+            { "version", session.configuration ? session.configuration->version : 0 },
+            { "knowledge_age_ms", millisSince(now, m_fabric.provenAt()) } });
+}
+
+void Gateway::refuse(Session& session, int status, const char* why, std::optional<base::Millis> retryAfter)
+{
+    note(session, status, status < 500 || status == 503 ? "refused" : "failed", why);
+    if (!session.isGone)
+        session.exchange.respond(m_dialect.ownAnswer(status, why, retryAfter, session.head.id));
+}
+
+// ---- Admission ---------------------------------------------------------------------------------
+
+bool Gateway::findRoute(Session& session)
+{
+    BootTime now = session.arrivedAt;
+    session.configuration = m_fabric.configuration();
+    if (!session.configuration) {
+        refuse(session, 503, "no_configuration", m_options.retryAfter);
+        return false;
+    }
+    session.route = routeFind(*session.configuration, session.head.host, session.exchange.request().target);
+    if (!session.route) {
+        if (now - m_fabric.provenAt() < m_options.denyLimit)
+            refuse(session, 404, "no_route", std::nullopt);
+        else
+            refuse(session, 503, "configuration_stale", m_options.retryAfter);
+        return false;
+    }
+    double draw = static_cast<double>(base::stableHash(session.head.id) % 100000) / 100000;
+    session.service = serviceDraw(*session.configuration, *session.route, draw);
+    if (!session.service) {
+        refuse(session, 503, "no_service", m_options.retryAfter);
+        return false;
+    }
+    return true;
+}
+
+bool Gateway::findAccount(Session& session)
+{
+    BootTime now = session.arrivedAt;
+    session.urgency = session.route->priority;
+    if (session.route->isPublic || session.configuration->accounts.empty())
+        return true;
+    if (!mayServe(now)) {
+        refuse(session, 503, "configuration_stale", m_options.retryAfter);
+        return false;
+    }
+    const Account* account = accountOfKey(*session.configuration, session.head.key);
+    if (!account) {
+        if (now - m_fabric.provenAt() < m_options.denyLimit)
+            refuse(session, 401, "unknown_key", std::nullopt);
+        else
+            refuse(session, 503, "configuration_stale", m_options.retryAfter);
+        return false;
+    }
+    session.account = account->name;
+    if (account->priority >= 0)
+        session.urgency = account->priority;
+    session.tokens = account->countsTokens ? session.head.tokens.value_or(account->plainTokens) : 1;
+    if (!m_fabric.quotaTake(*account, session.tokens)) {
+        base::Millis wait = account->rate > 0
+            ? base::Millis(static_cast<int64_t>(1000 * session.tokens / account->rate))
+            : m_options.retryAfter;
+        refuse(session, 429, "over_usage_cap", std::max(wait, m_options.retryAfter));
+        return false;
+    }
+    return true;
+}
+
+bool Gateway::admit(Session& session)
+{
+    if (!findRoute(session))
+        return false;
+    session.progress.repeat = session.route->repeat;
+    session.progress.maxAttempts = session.route->maxAttempts;
+    base::Millis time = session.route->timeout;
+    if (session.head.timeLeft)
+        time = std::min(time, *session.head.timeLeft);
+    session.deadline = session.arrivedAt + time;
+    if (!findAccount(session))
+        return false;
+    session.urgency = std::min(urgencyLast, urgencyFirst + session.urgency);
+    session.weight = 1.0 / (1 + std::max(0, session.route->priority));
+    return true;
+}
+
+void Gateway::serve(net::HttpExchange& exchange)
+{
+    Session session { exchange, m_dialect.readRequest(exchange.request()) };
+    session.arrivedAt = BootClock::now();
+    session.deadline = session.arrivedAt;
+    m_sessions.insert(&session);
+    exchange.watchCaller([&session] {
+        session.isGone = true;
+        if (session.connection)
+            session.connection->cancel();
+        session.wake.set();
+    });
+    if (admit(session)) {
+        m_arrivals[demandKey(session)] += 1;
+        repeatCountRequest(m_repeats[session.service->name], session.arrivedAt, m_options.repeats);
+        runAttempts(session);
+        if (session.progress.attemptsRun == 0 && !session.account.empty())
+            m_fabric.quotaGiveBack(session.account, session.tokens);
+    }
+    m_waiting.erase(&session);
+    m_sessions.erase(&session);
+}
+
+// ---- Replicas ----------------------------------------------------------------------------------
+
+Gateway::ReplicaUse& Gateway::useOf(const directory::Replica& replica)
+{
+    ReplicaUse& use = m_uses[replica.entry.id];
+    if (use.bornMillis != replica.entry.bornMillis) {
+        use = { replica.entry.bornMillis, use.ownNow };
+        m_channels.forget(replica.entry.address);
+    }
+    if (replica.hasReport && replica.reportAt > use.reportedAt) {
+        use.reported = replica.report.running + replica.report.waiting;
+        use.reportedAt = replica.reportAt;
+        use.ownThen = use.ownNow;
+    }
+    return use;
+}
+
+double Gateway::troubleOf(ReplicaUse& use, BootTime now) const
+{
+    double halves = base::secondsOf(std::max(BootClock::duration(0), now - use.troubleAt))
+        / base::secondsOf(m_options.troubleHalfLife);
+    use.trouble *= std::exp2(-halves);
+    use.troubleAt = now;
+    return use.trouble;
+}
+
+const directory::Replica* Gateway::chooseReplica(
+    Session& session, const std::set<std::string>& tried, bool& isHeldSomewhere)
+{
+    isHeldSomewhere = false;
+    std::vector<ReplicaView> views;
+    std::vector<const directory::Replica*> replicas;
+    BootTime now = BootClock::now();
+    bool isEngine = session.service->engine && !session.head.model.empty();
+    for (const auto& [id, replica] : m_fabric.directory().replicas) {
+        if (replica.entry.service != session.service->name || !directory::replicaIsUsable(replica))
+            continue;
+        if (isEngine && !directory::replicaHolds(replica, session.head.model, session.head.adapter))
+            continue;
+        isHeldSomewhere = true;
+        if (tried.contains(id))
+            continue;
+        ReplicaUse& use = useOf(replica);
+        ReplicaView view;
+        view.id = id;
+        view.slots = replica.entry.slots;
+        view.reported = use.reported;
+        view.ownNow = use.ownNow;
+        view.ownThen = use.ownThen;
+        view.reportAge = now - use.reportedAt;
+        view.trouble = troubleOf(use, now);
+        view.isAway = replica.entry.dataCenter != m_fabric.options().dataCenter;
+        views.push_back(view);
+        replicas.push_back(&replica);
+    }
+    ChoiceRequest request { affinityOf(session.head), base::stableHash(session.head.id) };
+    auto chosen
+        = replicaChoose(views, request, isEngine ? m_options.engineChoice : m_options.plainChoice);
+    return chosen ? replicas[*chosen] : nullptr;
+}
+
+// Whether a replica on which the model is being loaded will be ready early enough.
+bool Gateway::mayComeInTime(const Session& session, BootTime now) const
+{
+    return sessionTimeLeft(session, now) > m_options.serveLeast;
+}
+
+// Waits for a replica that can take the request. Null with a reason if none comes. Suspends.
+const directory::Replica* Gateway::awaitReplica(
+    Session& session, const std::set<std::string>& tried, const char*& why)
+{
+    bool isHurried = false;
+    while (!session.isGone) {
+        bool isHeld = false;
+        const directory::Replica* replica = chooseReplica(session, tried, isHeld);
+        BootTime now = BootClock::now();
+        if (!mayServe(now) && !session.account.empty())
+            why = "configuration_stale";
+        else if (replica) {
+            m_waiting.erase(&session);
+            return replica;
+        } else if (!mayComeInTime(session, now))
+            why = isHeld ? "replicas_full" : "model_not_loaded";
+        else if (!tried.empty() && isHeld && !session.service->engine)
+            why = "no_other_replica";
+        else if (m_waiting.size() >= m_options.waitingMost)
+            why = "queue_full";
+        if (*why)
+            break;
+        m_waiting.insert(&session);
+        if (!isHeld && !isHurried) {
+            isHurried = true;
+            m_fabric.hurry();
+        }
+        session.wake.reset();
+        base::Duration most = sessionTimeLeft(session, now) - m_options.serveLeast;
+        session.wake.waitUntil(base::Clock::now() + std::min<base::Duration>(most, base::Millis(150)));
+    }
+    m_waiting.erase(&session);
+    return nullptr;
+}
+
+AttemptResult Gateway::attempt(Session& session, const directory::Replica& replica)
+{
+    ReplicaEntry entry = replica.entry; // the directory may change meanwhile
+    {
+        ReplicaUse& use = useOf(replica);
+        use.ownNow += 1;
+    }
+    ++session.progress.attemptsSent;
+    BootTime begunAt = BootClock::now();
+    AttemptResult result = attemptRun(session, entry, m_dialect, m_channels);
+    if (result.end != AttemptEnd::NotRun)
+        ++session.progress.attemptsRun;
+    BootTime now = BootClock::now();
+    ReplicaUse& use = m_uses[entry.id];
+    use.ownNow = std::max(0.0, use.ownNow - 1);
+    if (result.load) {
+        use.reported = result.load->running + result.load->waiting;
+        use.reportedAt = now;
+        use.ownThen = use.ownNow;
+    }
+    double trouble = troubleOf(use, now);
+    use.trouble = result.isTrouble && !session.isGone ? trouble + 1 : result.end == AttemptEnd::Whole ? trouble * 0.6 : trouble;
+    base::counterAddLabelled("attempts_total", "end", result.why);
+    if (result.end != AttemptEnd::Whole)
+        base::logEvent(LogLevel::Info, "request.attempt",
+            { { "id", session.head.id }, { "replica", entry.id }, { "attempt", session.progress.attemptsSent },
+                { "end", result.why }, { "status", result.response.status }, { "reused", result.wasReused },
+                { "took_ms", millisSince(now, begunAt) }, { "trouble", use.trouble },
+                { "events", session.events.passed } });
+    wakeWaiting();
+    return result;
+}
+
+// ---- The request -------------------------------------------------------------------------------
+
+void Gateway::runAttempts(Session& session)
+{
+    std::set<std::string> tried;
+    AttemptResult last;
+    last.end = AttemptEnd::NotRun;
+    while (true) {
+        const char* why = "";
+        const directory::Replica* replica = awaitReplica(session, tried, why);
+        if (!replica) {
+            last.why = session.isGone ? "caller_gone" : why;
+            bool isTrue = refusalIsTrue(session.progress);
+            return finish(session, session.progress.hasPassedHead ? NextStep::Cut
+                    : isTrue                                       ? NextStep::Refuse
+                                                                   : NextStep::Fail,
+                last);
+        }
+        std::string id = replica->entry.id;
+        last = attempt(session, *replica);
+        BootTime now = BootClock::now();
+        RepeatMeans means;
+        means.hasTime = !session.isGone && sessionTimeLeft(session, now) > m_options.serveLeast;
+        NextStep next = stepAfterAttempt(session.progress, last.end, means);
+        if (next == NextStep::Repeat
+            && !repeatTake(m_repeats[session.service->name], now, m_fabric.memberCount(), m_options.repeats)) {
+            means.hasBudget = false;
+            next = stepAfterAttempt(session.progress, last.end, means);
+            base::counterAdd("repeats_without_budget_total");
+        }
+        if (next != NextStep::Repeat)
+            return finish(session, next, last);
+        tried.insert(id);
+    }
+}
+
+void Gateway::finish(Session& session, NextStep step, const AttemptResult& last)
+{
+    if (session.isGone) {
+        note(session, 0, "caller_gone", last.why);
+        return;
+    }
+    bool isOver = sessionTimeLeft(session, BootClock::now()) <= base::Millis(0);
+    switch (step) {
+    case NextStep::Deliver:
+        if (session.route->isStream)
+            session.exchange.finishStream();
+        else
+            session.exchange.respond({ last.response.status, m_dialect.answerHeaders(last.response), last.response.body });
+        note(session, last.response.status, "served", "");
+        return;
+    case NextStep::PassFailure:
+        session.exchange.respond({ last.response.status, m_dialect.answerHeaders(last.response), last.response.body });
+        note(session, last.response.status, "replica_failed", last.why);
+        return;
+    case NextStep::Refuse:
+        return refuse(session, 503, last.why, m_options.retryAfter);
+    case NextStep::Repeat:
+    case NextStep::Fail:
+        return refuse(session, isOver ? 504 : 502, last.why, std::nullopt);
+    case NextStep::Cut:
+        // Without its end mark the stream looks cut to the caller.
+        note(session, 0, "cut", last.why);
+        return;
+    }
+}
+
+} // namespace rattanshunt::gateway
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,104 @@
+// Serves callers: finds route, account and replica of each request and answers it whole or with a truthful refusal.
+//
+// Contents
+//   [1] Options         GatewayOptions
+//   [2] Gateway
+//
+// Decisions are free functions in files of their own: RequestPlan.h (repeats and refusals), ReplicaChoice.h (which
+// replica), RepeatBudget.h, quota/Grants.h (usage). This file carries them out and writes one log line for each.
+//
+// Own thread only.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "fabric/Fabric.h"
+#include "gateway/Channels.h"
+#include "gateway/RepeatBudget.h"
+#include "gateway/ReplicaChoice.h"
+#include "gateway/Session.h"
+#include "net/Http.h"
+
+namespace rattanshunt::gateway {
+
+// ---- [1] Options -------------------------------------------------------------------------------
+
+struct GatewayOptions {
+    base::Millis revokeLimit { 4800 };   // age of configuration up to which keys are trusted
+    base::Millis denyLimit { 1800 };     // age up to which an unknown route or key is refused for good
+    base::Millis retryAfter { 300 };     // when a refused caller may come back, if nothing better is known
+    base::Millis serveLeast { 150 };     // time that a request needs at a replica at least
+    base::Millis sweepInterval { 1000 }; // between two looks for idle connections
+    base::Millis troubleHalfLife { 2500 }; // of a replica's failures
+    size_t waitingMost = 400;            // requests that wait for a replica
+    RepeatBudgetOptions repeats;
+    ReplicaChoiceOptions engineChoice;
+    ReplicaChoiceOptions plainChoice;
+    ChannelOptions channels;
+};
+
+// ---- [2] Gateway -------------------------------------------------------------------------------
+
+class Gateway {
+public:
+    Gateway(net::Loop&, GatewayOptions, const Dialect&, fabric::Fabric&);
+
+    // -- commands --
+    bool listen(const base::Address&, std::string& error);
+    void beginDrain();    // answers end their connections from now on
+    void stopAccepting(); // closes idle connections too
+    void closeAll();
+    void reconfigure(const GatewayOptions&); // for what begins from now on
+    fabric::DemandTable takeDemand(); // arrivals since the last call; waiting now
+
+    // -- queries --
+    size_t underWay() const { return m_sessions.size(); }
+    bool isDraining() const { return m_isDraining; }
+    bool mayServe(base::BootTime now) const; // knows a configuration that is fresh enough for keys
+
+private:
+    // What this daemon has seen of a replica.
+    struct ReplicaUse {
+        int64_t bornMillis = 0;
+        double ownNow = 0;
+        double ownThen = 0;
+        double reported = 0;
+        base::BootTime reportedAt {};
+        double trouble = 0;
+        base::BootTime troubleAt {};
+    };
+
+    void serve(net::HttpExchange&);
+    bool admit(Session&);
+    bool findRoute(Session&);
+    bool findAccount(Session&);
+    void runAttempts(Session&);
+    const directory::Replica* awaitReplica(Session&, const std::set<std::string>& tried, const char*& why);
+    const directory::Replica* chooseReplica(Session&, const std::set<std::string>& tried, bool& isHeldSomewhere);
+    bool mayComeInTime(const Session&, base::BootTime now) const;
+    AttemptResult attempt(Session&, const directory::Replica&);
+    void finish(Session&, NextStep, const AttemptResult&);
+    void refuse(Session&, int status, const char* why, std::optional<base::Millis> retryAfter);
+    void note(const Session&, int status, const char* outcome, const char* why);
+    ReplicaUse& useOf(const directory::Replica&);
+    double troubleOf(ReplicaUse&, base::BootTime now) const;
+    void wakeWaiting();
+
+    net::Loop& m_loop;
+    GatewayOptions m_options;
+    const Dialect& m_dialect;
+    fabric::Fabric& m_fabric;
+    Channels m_channels;
+    std::optional<net::HttpServerHandle> m_server;
+    std::set<Session*> m_sessions;
+    std::set<Session*> m_waiting;
+    std::map<std::string, ReplicaUse> m_uses;        // by replica
+    std::map<std::string, RepeatBudget> m_repeats;   // by service
+    std::map<fabric::DemandKey, double> m_arrivals;  // since the last report
+    bool m_isDraining = false;
+};
+
+} // namespace rattanshunt::gateway
--- /dev/null
+++ b/src/gateway/ReplicaChoice.h
@@ -0,0 +1,60 @@
+// Which replica a request goes to.
+//
+// Contents
+//   [1] Data            ReplicaView, ChoiceRequest, ChoiceOptions
+//   [2] Decisions       replicaCost(), replicaChoose()
+//
+// Load pattern: prompts share long beginnings, reports of load lag, and at the worst load some replicas are full while
+// others of the same model have room. A request goes to the replica that its prompt's shared parts hash to, as long as
+// that one is not much busier than the least busy; a replica that failed lately gets less, but is tried again.
+//
+// Pure; safe from any thread.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/Time.h"
+
+namespace rattanshunt::gateway {
+
+// ---- [1] Data ----------------------------------------------------------------------------------
+
+struct ReplicaView {
+    std::string_view id;
+    double slots = 1;
+    double reported = 0;           // requests running and waiting there at the last report
+    double ownNow = 0;             // of this daemon, under way now
+    double ownThen = 0;            // of this daemon, under way at that report
+    base::Duration reportAge { 0 };
+    double trouble = 0;            // recent failures, decaying
+    bool isAway = false;           // in another data centre
+};
+
+struct ChoiceRequest {
+    uint64_t affinity = 0; // hash of the prompt's shared parts; 0: none
+    uint64_t draw = 0;     // differs between requests
+};
+
+struct ReplicaChoiceOptions {
+    double affinityWorth = 0.15;         // of the slots, that the preferred replica may be busier
+    double awayCost = 0.04;              // of the slots, for crossing data centres
+    double troubleCost = 0.5;            // of the slots, for each recent failure
+    base::Millis reportHalfLife { 400 }; // of the requests of others in a report
+    double fullLoad = 1.0;               // requests for each slot beyond which a replica gets no more
+    double troubleMost = 3;              // failures at which a replica is used only if no other is left
+};
+
+// ---- [2] Decisions -----------------------------------------------------------------------------
+
+// Requests for each slot.
+double replicaLoad(const ReplicaView&, const ReplicaChoiceOptions&);
+
+// Index of the replica to use, or nothing if all are full.
+std::optional<size_t> replicaChoose(
+    const std::vector<ReplicaView>&, const ChoiceRequest&, const ReplicaChoiceOptions&);
+
+} // namespace rattanshunt::gateway
--- /dev/null
+++ b/src/gateway/RequestPlan.cpp
@@ -0,0 +1,36 @@
+#include "gateway/RequestPlan.h"
+
+namespace rattanshunt::gateway {
+
+bool refusalIsTrue(const RequestProgress& progress)
+{
+    return progress.attemptsRun == 0 && !progress.hasPassedHead;
+}
+
+static NextStep giveUp(const RequestProgress& progress)
+{
+    if (progress.hasPassedHead)
+        return NextStep::Cut;
+    return refusalIsTrue(progress) ? NextStep::Refuse : NextStep::Fail;
+}
+
+NextStep stepAfterAttempt(const RequestProgress& progress, AttemptEnd end, RepeatMeans means)
+{
+    bool mayRepeat = means.hasBudget && means.hasTime && progress.attemptsRun < progress.maxAttempts;
+    switch (end) {
+    case AttemptEnd::Whole:
+        return NextStep::Deliver;
+    case AttemptEnd::NotRun:
+        return mayRepeat && progress.attemptsSent < progress.maxAttempts + refusalsMost ? NextStep::Repeat
+                                                                                         : giveUp(progress);
+    case AttemptEnd::RanFailed:
+        if (progress.hasPassedHead)
+            return NextStep::Cut;
+        return progress.repeat == RepeatKind::Safe && mayRepeat ? NextStep::Repeat : NextStep::PassFailure;
+    case AttemptEnd::Unknown:
+        return progress.repeat != RepeatKind::Once && mayRepeat ? NextStep::Repeat : giveUp(progress);
+    }
+    return NextStep::Fail;
+}
+
+} // namespace rattanshunt::gateway
--- /dev/null
+++ b/src/gateway/Session.h
@@ -0,0 +1,64 @@
+// One request on its way through the gateway, and the attempts that carry it to replicas.
+//
+// Contents
+//   [1] Data            Session, AttemptResult
+//   [2] Attempts        attemptRun()
+//
+// Own thread only; attemptRun() suspends the calling fiber.
+#pragma once
+
+#include <string>
+
+#include "gateway/Channels.h"
+#include "gateway/Dialect.h"
+#include "gateway/Events.h"
+#include "gateway/RequestPlan.h"
+#include "net/Http.h"
+
+namespace rattanshunt::gateway {
+
+// ---- [1] Data ----------------------------------------------------------------------------------
+
+struct Session {
+    net::HttpExchange& exchange;
+    RequestHead head;
+    ConfigurationPointer configuration;
+    const Route* route = nullptr;     // of `configuration`
+    const Service* service = nullptr; //
+    std::string account;              // name; empty on public routes
+    int urgency = 5;
+    double tokens = 1;                // cost to the account
+    double weight = 1;                // of its wait, beside others
+    base::BootTime arrivedAt {};
+    base::BootTime deadline {};       // the caller's or the route's, whichever is earlier
+    RequestProgress progress;
+    EventSplitter events;
+    bool isGone = false;              // the caller has left
+    net::HttpConnection* connection = nullptr; // to the replica, while an attempt runs
+    net::Event wake;                  // something that the request waits for may have changed
+};
+
+struct AttemptResult {
+    AttemptEnd end = AttemptEnd::Unknown;
+    const char* why = "";
+    bool isTrouble = false;       // counts against the replica
+    bool wasMisdirected = false;  // the replica does not hold what was thought
+    net::HttpResponse response;   // for a failure of the replica's own, or a whole answer that is not a stream
+    std::optional<AnswerHead::Load> load;
+    base::Duration firstByte { 0 }; // from sending to the head of the answer
+    bool wasReused = false;       // the connection had served before
+};
+
+// Time to open a connection to a replica.
+constexpr base::Millis connectTime { 700 };
+
+// ---- [2] Attempts ------------------------------------------------------------------------------
+
+// Sends the request to one replica and passes the answer on as far as it may: the events of a stream as they come, any
+// other answer is returned whole. Cancelled through Session::connection.
+AttemptResult attemptRun(Session&, const ReplicaEntry&, const Dialect&, Channels&);
+
+// What is left until the deadline.
+base::Millis sessionTimeLeft(const Session&, base::BootTime now);
+
+} // namespace rattanshunt::gateway
--- /dev/null
+++ b/src/models/Placer.cpp
@@ -0,0 +1,402 @@
+#include "models/Placer.h"
+
+#include <algorithm>
+
+#include "base/Counters.h"
+#include "base/Log.h"
+
+namespace rattanshunt::models {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+using gateway::HeldModel;
+using gateway::ModelOrder;
+using gateway::OrderAnswer;
+
+namespace {
+
+    constexpr int conflictsMost = 3; // answers "another order" before a job is given up
+
+    const char* orderAnswerName(OrderAnswer answer)
+    {
+        switch (answer) {
+        case OrderAnswer::Accepted:
+            return "accepted";
+        case OrderAnswer::Holds:
+            return "holds";
+        case OrderAnswer::Conflict:
+            return "conflict";
+        case OrderAnswer::Superseded:
+            return "superseded";
+        case OrderAnswer::Refused:
+            return "refused";
+        case OrderAnswer::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
+    void removeHeld(std::vector<HeldModel>& held, const std::string& model, const std::string& adapter)
+    {
+        for (auto each = held.begin(); each != held.end(); ++each) {
+            if (each->name != model)
+                continue;
+            if (adapter.empty())
+                held.erase(each);
+            else
+                std::erase(each->adapters, adapter);
+            return;
+        }
+    }
+
+    void addHeld(std::vector<HeldModel>& held, const std::string& model, const std::string& adapter)
+    {
+        auto found = std::find_if(held.begin(), held.end(), [&](const HeldModel& each) { return each.name == model; });
+        if (found == held.end())
+            found = held.insert(held.end(), HeldModel { model, {} });
+        if (!adapter.empty() && std::find(found->adapters.begin(), found->adapters.end(), adapter) == found->adapters.end())
+            found->adapters.push_back(adapter);
+    }
+
+} // namespace
+
+Placer::Placer(net::Loop& loop, PlacerOptions options, fabric::Fabric& fabric, const gateway::Dialect& dialect)
+    : m_loop(loop)
+    , m_options(options)
+    , m_fabric(fabric)
+    , m_dialect(dialect)
+{
+}
+
+void Placer::start()
+{
+    m_loop.spawn([this] {
+        while (!m_isStopping) {
+            tick();
+            net::sleepFor(m_fabric.isHub() ? m_options.planInterval : m_options.planInterval * 3);
+        }
+    });
+}
+
+void Placer::beginHub()
+{
+    m_token = m_fabric.fencingToken();
+    m_hubSince = BootClock::now();
+    m_follows.clear();
+    m_storeLoads.clear();
+    // The former hub may have used the whole window; its loads are counted as begun now.
+    base::logEvent(LogLevel::Info, "placement.taken_over", { { "fencing_token", m_token } });
+}
+
+void Placer::tick()
+{
+    bool isHub = m_fabric.isHub();
+    if (isHub && (!m_wasHub || m_token != m_fabric.fencingToken()))
+        beginHub();
+    if (!isHub && m_wasHub) {
+        m_follows.clear();
+        for (auto& [id, replica] : m_fabric.directory().replicas) {
+            replica.coming.clear();
+        }
+    }
+    m_wasHub = isHub;
+    auto configuration = m_fabric.configuration();
+    if (!isHub || !configuration)
+        return;
+    BootTime now = BootClock::now();
+    askReports(now);
+    fabric::DemandTable demand = m_fabric.collectDemand(now);
+    if (!m_fabric.mayOrder(now))
+        return;
+    for (const auto& [name, service] : configuration->services) {
+        if (service.engine)
+            planService(service, demand, now);
+    }
+}
+
+// ---- Reports -----------------------------------------------------------------------------------
+
+const gateway::Engine* Placer::engineOf(const std::string& id) const
+{
+    auto configuration = m_fabric.configuration();
+    auto replica = m_fabric.directory().replicas.find(id);
+    if (!configuration || replica == m_fabric.directory().replicas.end())
+        return nullptr;
+    auto service = configuration->services.find(replica->second.entry.service);
+    if (service == configuration->services.end() || !service->second.engine)
+        return nullptr;
+    return &*service->second.engine;
+}
+
+void Placer::askReports(BootTime now)
+{
+    std::erase_if(m_follows, [&](auto& item) { return !m_fabric.directory().replicas.contains(item.first); });
+    for (const auto& [id, replica] : m_fabric.directory().replicas) {
+        if (!engineOf(id))
+            continue;
+        auto& follow = m_follows[id];
+        if (!follow || follow->bornMillis != replica.entry.bornMillis) {
+            follow = std::make_shared<Follow>();
+            follow->bornMillis = replica.entry.bornMillis;
+        }
+        if (follow->isAsking || follow->isEngaged || now - follow->askedAt < m_options.reportInterval)
+            continue;
+        m_loop.spawn([this, id = id] { askReport(id); });
+    }
+}
+
+// Asks a replica for its report. False if none came. Suspends.
+bool Placer::askReport(const std::string& id)
+{
+    auto found = m_follows.find(id);
+    auto replica = m_fabric.directory().replicas.find(id);
+    if (found == m_follows.end() || replica == m_fabric.directory().replicas.end() || found->second->isAsking)
+        return false;
+    std::shared_ptr<Follow> follow = found->second;
+    follow->isAsking = true;
+    follow->askedAt = BootClock::now();
+    BootTime askedAt = follow->askedAt;
+    // Taken out while in use: an order may go out meanwhile, over a connection of its own.
+    auto connection = std::move(follow->connection);
+    if (!connection || !connection->isReusable())
+        connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
+    net::HttpResult result
+        = net::httpCall(*connection, m_dialect.writeReportCall(), base::Clock::now() + m_options.reportTime);
+    follow->isAsking = false;
+    if (result.error == net::HttpCallError::None && !follow->connection)
+        follow->connection = std::move(connection);
+    std::optional<gateway::ReplicaReport> report;
+    if (result.error == net::HttpCallError::None)
+        report = m_dialect.readReport(result.response);
+    if (!report) {
+        base::counterAdd("replica_reports_missing_total");
+        return false;
+    }
+    if (report->bornMillis != follow->bornMillis)
+        return false;
+    directory::directoryApplyReport(m_fabric.directory(), id, *report, askedAt);
+    follow->report = *report;
+    // A report lags; one from before an order that was accepted says nothing of what is held now.
+    if (report->ordersTaken >= follow->ordersTaken) {
+        bool isChanged = !follow->hasReport || (!follow->isEngaged && !(follow->held == report->models));
+        follow->ordersTaken = report->ordersTaken;
+        follow->hasReport = true;
+        if (!follow->isEngaged)
+            follow->held = report->models;
+        if (isChanged)
+            publish(id);
+    }
+    return true;
+}
+
+void Placer::publish(const std::string& id)
+{
+    auto replica = m_fabric.directory().replicas.find(id);
+    auto follow = m_follows.find(id);
+    if (replica == m_fabric.directory().replicas.end() || follow == m_follows.end())
+        return;
+    replica->second.placed = follow->second->held;
+    m_fabric.placementChanged(id);
+}
+
+// ---- Plans -------------------------------------------------------------------------------------
+
+double Placer::storeLoadsLeft(const gateway::Engine& engine, BootTime now)
+{
+    while (!m_storeLoads.empty() && m_storeLoads.front() < now - m_options.ceilingWindow)
+        m_storeLoads.pop_front();
+    double most = engine.storeLoadsPerSecond * base::secondsOf(m_options.ceilingWindow);
+    // After a takeover the window fills up with time.
+    most = std::min(most, engine.storeLoadsPerSecond * base::secondsOf(now - m_hubSince) + 1);
+    return most - static_cast<double>(m_storeLoads.size());
+}
+
+void Placer::planService(const gateway::Service& service, const fabric::DemandTable& demand, BootTime now)
+{
+    PlanInput input;
+    input.engine = &*service.engine;
+    input.service = service.name;
+    input.demand = demand;
+    input.storeLoadsLeft = storeLoadsLeft(*service.engine, now);
+    for (const auto& [id, replica] : m_fabric.directory().replicas) {
+        auto follow = m_follows.find(id);
+        if (replica.entry.service != service.name || !directory::replicaIsUsable(replica) || follow == m_follows.end()
+            || !follow->second->hasReport)
+            continue;
+        const Follow& known = *follow->second;
+        PlanReplica view;
+        view.id = id;
+        view.isEngaged = known.isEngaged || known.report.isBusy;
+        view.load = (known.report.running + known.report.waiting) / std::max(1.0, replica.entry.slots);
+        view.held = known.held;
+        if (!known.coming.empty())
+            view.coming.insert(known.coming);
+        view.inMemory = { known.report.inMemory.begin(), known.report.inMemory.end() };
+        view.onDisk = { known.report.onDisk.begin(), known.report.onDisk.end() };
+        input.replicas.push_back(std::move(view));
+    }
+    for (PlanJob& job : planJobs(input, m_options.plan)) {
+        m_follows[job.replica]->isEngaged = true;
+        if (job.fromStore)
+            m_storeLoads.push_back(now);
+        m_loop.spawn([this, job = std::move(job)]() mutable { runJob(std::move(job)); });
+    }
+}
+
+// ---- Jobs --------------------------------------------------------------------------------------
+
+void Placer::runJob(PlanJob job)
+{
+    auto found = m_follows.find(job.replica);
+    if (found == m_follows.end())
+        return;
+    std::shared_ptr<Follow> follow = found->second;
+    auto replica = m_fabric.directory().replicas.find(job.replica);
+    if (job.adapter.empty() && replica != m_fabric.directory().replicas.end()) {
+        follow->coming = job.model;
+        replica->second.coming = { { job.model, BootClock::now() + job.estimate } };
+    }
+    for (const std::string& model : job.unloadModels)
+        removeHeld(follow->held, model, "");
+    for (const HeldModel& model : job.unloadAdapters)
+        removeHeld(follow->held, model.name, model.adapters.front());
+    publish(job.replica);
+    bool isDone = runSteps(job, *follow);
+    follow->coming.clear();
+    replica = m_fabric.directory().replicas.find(job.replica);
+    if (replica != m_fabric.directory().replicas.end())
+        replica->second.coming.clear();
+    auto current = m_follows.find(job.replica);
+    if (current == m_follows.end() || current->second != follow)
+        return;
+    if (isDone)
+        addHeld(follow->held, job.model, job.adapter);
+    else
+        follow->hasReport = false; // until the next report, nothing is known for sure
+    follow->isEngaged = false;
+    if (isDone)
+        publish(job.replica);
+}
+
+bool Placer::runSteps(const PlanJob& job, Follow& follow)
+{
+    for (const HeldModel& gone : job.unloadAdapters) {
+        if (!orderAndFollow(job, follow, { false, gone.name, gone.adapters.front(), 0, "", 0 }))
+            return false;
+    }
+    for (const std::string& gone : job.unloadModels) {
+        if (!orderAndFollow(job, follow, { false, gone, "", 0, "", 0 }))
+            return false;
+    }
+    return orderAndFollow(job, follow, { true, job.model, job.adapter, 0, "", 0 });
+}
+
+bool Placer::fits(const std::string& id, const ModelOrder& order) const
+{
+    const gateway::Engine* engine = engineOf(id);
+    auto follow = m_follows.find(id);
+    if (!engine || follow == m_follows.end() || !engine->models.contains(order.model))
+        return false;
+    double used = 0;
+    size_t places = follow->second->report.comingAdapters.size();
+    for (const HeldModel& held : follow->second->held) {
+        auto spec = engine->models.find(held.name);
+        if (spec == engine->models.end())
+            return false;
+        used += spec->second.weightsMb + spec->second.adapterMb * static_cast<double>(held.adapters.size());
+        places += held.adapters.size();
+    }
+    const gateway::ModelSpec& spec = engine->models.at(order.model);
+    if (order.adapter.empty())
+        return used + spec.weightsMb <= engine->weightsMb;
+    return places < engine->adapterPlaces && used + spec.adapterMb <= engine->weightsMb;
+}
+
+OrderAnswer Placer::sendOrder(const std::string& id, const ModelOrder& order)
+{
+    auto found = m_follows.find(id);
+    auto replica = m_fabric.directory().replicas.find(id);
+    if (found == m_follows.end() || replica == m_fabric.directory().replicas.end())
+        return OrderAnswer::Refused;
+    std::shared_ptr<Follow> follow = found->second;
+    auto connection = std::move(follow->connection);
+    base::TimePoint deadline = base::Clock::now() + m_options.orderTime;
+    if (!connection || !connection->isReusable()) {
+        connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
+        if (connection->connect(deadline) != net::HttpCallError::None)
+            return OrderAnswer::Conflict;
+    }
+    // The connection may have taken long: the right to order is checked last.
+    if (!m_fabric.mayOrder(BootClock::now()) || m_token != m_fabric.fencingToken())
+        return OrderAnswer::Superseded;
+    base::counterAdd("model_orders_total");
+    net::HttpResult result = net::httpCall(*connection, m_dialect.writeOrder(order, id), deadline);
+    if (result.error != net::HttpCallError::None)
+        return OrderAnswer::Unknown;
+    if (!follow->connection)
+        follow->connection = std::move(connection);
+    return m_dialect.readOrderAnswer(result.response);
+}
+
+// Gives one order and waits until it is carried out. Suspends.
+bool Placer::orderAndFollow(const PlanJob& job, Follow& follow, const ModelOrder& planned)
+{
+    base::BootTime giveUpAt = BootClock::now() + m_options.followTime;
+    for (int conflicts = 0; conflicts < conflictsMost; ++conflicts) {
+        ModelOrder order = planned;
+        order.holder = m_fabric.options().name;
+        order.fencingToken = m_token;
+        order.expectedOrders = follow.ordersTaken;
+        if (order.isLoad && !fits(job.replica, order)) {
+            base::logEvent(LogLevel::Warning, "placement.does_not_fit",
+                { { "replica", job.replica }, { "model", order.model }, { "adapter", order.adapter } });
+            return false;
+        }
+        OrderAnswer answer = sendOrder(job.replica, order);
+        base::logEvent(LogLevel::Info, "placement.order",
+            { { "replica", job.replica }, { "operation", order.isLoad ? "load" : "unload" }, { "model", order.model },
+                { "adapter", order.adapter }, { "expected_orders", order.expectedOrders },
+                { "fencing_token", order.fencingToken }, { "from_store", job.fromStore },
+                { "outcome", orderAnswerName(answer) } });
+        if (answer == OrderAnswer::Superseded) {
+            if (m_fabric.isHub() && m_token == m_fabric.fencingToken() && m_fabric.mayOrder(BootClock::now()))
+                m_fabric.resign("a replica has seen a higher fencing token");
+            return false;
+        }
+        if (answer == OrderAnswer::Refused)
+            return false;
+        if (answer == OrderAnswer::Accepted || (answer == OrderAnswer::Holds && !order.adapter.empty()))
+            follow.ordersTaken = order.expectedOrders + 1;
+        if (!order.adapter.empty() && (answer == OrderAnswer::Accepted || answer == OrderAnswer::Holds)) {
+            if (order.isLoad)
+                net::sleepFor(m_options.adapterTime);
+            return true;
+        }
+        // A report says whether the order was taken, and when it is done.
+        while (BootClock::now() < giveUpAt && !m_isStopping) {
+            net::sleepFor(m_options.followInterval);
+            auto current = m_follows.find(job.replica);
+            if (current == m_follows.end() || current->second.get() != &follow || m_token != m_fabric.fencingToken())
+                return false;
+            if (!askReport(job.replica) || follow.report.ordersTaken < follow.ordersTaken || follow.report.isBusy)
+                continue;
+            bool isHeld = false;
+            for (const HeldModel& held : follow.report.models)
+                isHeld = isHeld || held.name == order.model;
+            if (isHeld == order.isLoad && order.adapter.empty())
+                return true;
+            if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Holds)
+                continue;
+            break;
+        }
+        if (BootClock::now() >= giveUpAt)
+            break;
+        follow.ordersTaken = follow.report.ordersTaken;
+    }
+    base::logEvent(LogLevel::Warning, "placement.given_up",
+        { { "replica", job.replica }, { "model", planned.model }, { "adapter", planned.adapter } });
+    return false;
+}
+
+} // namespace rattanshunt::models
--- /dev/null
+++ b/src/models/Placer.h
@@ -0,0 +1,84 @@
+// Carries out placement at the hub: asks replicas for their reports, plans, gives orders and follows them.
+//
+// Each job runs in a fiber of its own and its orders go one after another. Every order carries the number of orders that
+// the replica had taken, so that one which arrives late finds another number and fails, whatever it was.
+//
+// Q: What counts as loaded after an order without an answer?  A: Nothing changes until a report shows the number of
+//    orders taken; a late order for the number before can't overcommit, as it was planned for that state.
+//
+// Own thread only.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fabric/Fabric.h"
+#include "models/Planner.h"
+#include "net/Http.h"
+
+namespace rattanshunt::models {
+
+struct PlacerOptions {
+    base::Millis planInterval { 100 };
+    base::Millis reportInterval { 600 };  // between two reports of a replica that is not engaged
+    base::Millis reportTime { 400 };      // for one report
+    base::Millis orderTime { 800 };       // for the answer to an order
+    base::Millis followInterval { 60 };   // between two reports while an order is under way
+    base::Seconds followTime { 20 };      // after which a job is given up
+    base::Seconds ceilingWindow { 5 };    // of the weight store's limit on loads
+    base::Millis adapterTime { 20 };      // until an accepted adapter can be used
+    PlanOptions plan;
+};
+
+class Placer {
+public:
+    Placer(net::Loop&, PlacerOptions, fabric::Fabric&, const gateway::Dialect&);
+
+    // -- commands --
+    void start();
+    void stop() { m_isStopping = true; }
+
+private:
+    // What the hub knows of a replica beyond the directory.
+    struct Follow {
+        int64_t bornMillis = 0;
+        bool isEngaged = false;
+        bool hasReport = false;            // since this daemon became hub
+        bool isAsking = false;             // a report is under way
+        int64_t ordersTaken = 0;           // at least; by reports and accepted orders
+        base::BootTime askedAt {};         // for the last report
+        std::string coming;                // model on its way
+        std::vector<gateway::HeldModel> held; // as of ordersTaken
+        gateway::ReplicaReport report;
+        std::unique_ptr<net::HttpConnection> connection;
+    };
+
+    void tick();
+    void beginHub();
+    void askReports(base::BootTime now);
+    bool askReport(const std::string& id);
+    void planService(const gateway::Service&, const fabric::DemandTable&, base::BootTime now);
+    void runJob(PlanJob);
+    bool runSteps(const PlanJob&, Follow&);
+    bool orderAndFollow(const PlanJob&, Follow&, const gateway::ModelOrder&);
+    gateway::OrderAnswer sendOrder(const std::string& id, const gateway::ModelOrder&);
+    bool fits(const std::string& id, const gateway::ModelOrder&) const;
+    const gateway::Engine* engineOf(const std::string& id) const;
+    void publish(const std::string& id);
+    double storeLoadsLeft(const gateway::Engine&, base::BootTime now);
+
+    net::Loop& m_loop;
+    PlacerOptions m_options;
+    fabric::Fabric& m_fabric;
+    const gateway::Dialect& m_dialect;
+    bool m_isStopping = false;
+    bool m_wasHub = false;
+    int64_t m_token = 0;                       // the fencing token that the state below belongs to
+    std::map<std::string, std::shared_ptr<Follow>> m_follows; // by replica
+    std::deque<base::BootTime> m_storeLoads;   // begun in the last window
+    base::BootTime m_hubSince {};
+};
+
+} // namespace rattanshunt::models
--- /dev/null
+++ b/src/models/Planner.cpp
@@ -0,0 +1,279 @@
+#include "models/Planner.h"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace rattanshunt::models {
+
+using gateway::HeldModel;
+using gateway::ModelSpec;
+
+namespace {
+
+    struct ModelDemand {
+        double waiting = 0;
+        double worth = 0;
+        double rate = 0;
+    };
+
+    struct Planning {
+        const PlanInput& input;
+        const PlanOptions& options;
+        std::map<std::string, ModelDemand> demand; // by model
+        std::map<std::string, int> copies;         // held or coming
+        std::set<std::string> engaged;             // replicas with a job, also of this plan
+        double storeLoadsLeft = 0;
+        std::vector<PlanJob> jobs;
+    };
+
+    const HeldModel* heldModel(const PlanReplica& replica, const std::string& model)
+    {
+        for (const HeldModel& held : replica.held) {
+            if (held.name == model)
+                return &held;
+        }
+        return nullptr;
+    }
+
+    double usedMb(const gateway::Engine& engine, const PlanReplica& replica)
+    {
+        double sum = 0;
+        for (const HeldModel& held : replica.held) {
+            auto spec = engine.models.find(held.name);
+            if (spec != engine.models.end())
+                sum += spec->second.weightsMb + spec->second.adapterMb * static_cast<double>(held.adapters.size());
+        }
+        return sum;
+    }
+
+    struct Tier {
+        base::Millis time { 0 };
+        bool isStore = false;
+    };
+
+    Tier loadTier(const PlanReplica& replica, const ModelSpec& spec)
+    {
+        if (replica.inMemory.contains(spec.name))
+            return { spec.memoryLoad, false };
+        if (replica.onDisk.contains(spec.name))
+            return { spec.diskLoad, false };
+        return { spec.storeLoad, true };
+    }
+
+    // What unloading one copy of a model costs, in requests a second that would have to wait for it again.
+    double unloadCost(const Planning& planning, const std::string& model)
+    {
+        double rate = planning.options.keepRate;
+        auto demand = planning.demand.find(model);
+        if (demand != planning.demand.end())
+            rate = std::max(rate, demand->second.rate);
+        auto copies = planning.copies.find(model);
+        int count = copies == planning.copies.end() ? 1 : std::max(1, copies->second);
+        return count == 1 ? rate * planning.options.lastCopyWeight : rate / count;
+    }
+
+    struct Room {
+        std::vector<std::string> unload;
+        double cost = 0;
+    };
+
+    // The cheapest models to unload for `spec`; nothing if they do not make enough room.
+    std::optional<Room> makeRoom(const Planning& planning, const PlanReplica& replica, const ModelSpec& spec)
+    {
+        const gateway::Engine& engine = *planning.input.engine;
+        double freeMb = engine.weightsMb - usedMb(engine, replica);
+        Room room;
+        std::vector<std::pair<double, const HeldModel*>> candidates;
+        for (const HeldModel& held : replica.held) {
+            auto demand = planning.demand.find(held.name);
+            bool isLast = planning.copies.contains(held.name) && planning.copies.at(held.name) <= 1;
+            if (isLast && demand != planning.demand.end() && demand->second.waiting > 0)
+                continue;
+            candidates.push_back({ unloadCost(planning, held.name), &held });
+        }
+        std::sort(candidates.begin(), candidates.end(),
+            [](auto& a, auto& b) { return a.first != b.first ? a.first < b.first : a.second->name < b.second->name; });
+        for (auto& [cost, held] : candidates) {
+            if (freeMb >= spec.weightsMb)
+                break;
+            auto heldSpec = engine.models.find(held->name);
+            if (heldSpec == engine.models.end())
+                continue;
+            freeMb += heldSpec->second.weightsMb + heldSpec->second.adapterMb * static_cast<double>(held->adapters.size());
+            room.unload.push_back(held->name);
+            room.cost += cost;
+        }
+        if (freeMb < spec.weightsMb)
+            return std::nullopt;
+        return room;
+    }
+
+    // Brings one copy of a model to the replica where that costs least. `mostCost`: of what makes way.
+    bool placeModel(Planning& planning, const ModelSpec& spec, double mostCost)
+    {
+        const PlanReplica* best = nullptr;
+        Room bestRoom;
+        Tier bestTier;
+        double bestScore = std::numeric_limits<double>::max();
+        for (const PlanReplica& replica : planning.input.replicas) {
+            if (replica.isEngaged || planning.engaged.contains(replica.id) || heldModel(replica, spec.name))
+                continue;
+            Tier tier = loadTier(replica, spec);
+            if (tier.isStore && planning.storeLoadsLeft < 1)
+                continue;
+            auto room = makeRoom(planning, replica, spec);
+            if (!room || room->cost > mostCost)
+                continue;
+            double score = base::secondsOf(tier.time) + room->cost * 2 + replica.load;
+            if (score < bestScore) {
+                bestScore = score;
+                best = &replica;
+                bestRoom = std::move(*room);
+                bestTier = tier;
+            }
+        }
+        if (!best)
+            return false;
+        planning.engaged.insert(best->id);
+        planning.storeLoadsLeft -= bestTier.isStore ? 1 : 0;
+        for (const std::string& gone : bestRoom.unload)
+            --planning.copies[gone];
+        ++planning.copies[spec.name];
+        planning.jobs.push_back({ best->id, bestRoom.unload, {}, spec.name, "", bestTier.isStore, bestTier.time });
+        return true;
+    }
+
+    // Load of the least busy holder; nothing if there is none.
+    std::optional<double> leastLoad(const Planning& planning, const std::string& model, const std::string& adapter)
+    {
+        std::optional<double> least;
+        for (const PlanReplica& replica : planning.input.replicas) {
+            const HeldModel* held = heldModel(replica, model);
+            if (!held)
+                continue;
+            if (!adapter.empty()
+                && std::find(held->adapters.begin(), held->adapters.end(), adapter) == held->adapters.end())
+                continue;
+            if (!least || replica.load < *least)
+                least = replica.load;
+        }
+        return least;
+    }
+
+    double adapterRate(const Planning& planning, const std::string& model, const std::string& adapter)
+    {
+        auto found = planning.input.demand.find({ planning.input.service, model, adapter });
+        return found == planning.input.demand.end() ? 0 : found->second.arrivals + 100 * found->second.waiting;
+    }
+
+    // Brings an adapter to the replica that holds its model and gives up least for it.
+    void placeAdapter(Planning& planning, const ModelSpec& spec, const std::string& adapter)
+    {
+        const gateway::Engine& engine = *planning.input.engine;
+        const PlanReplica* best = nullptr;
+        std::optional<HeldModel> bestGone;
+        double bestScore = std::numeric_limits<double>::max();
+        for (const PlanReplica& replica : planning.input.replicas) {
+            const HeldModel* held = heldModel(replica, spec.name);
+            if (replica.isEngaged || planning.engaged.contains(replica.id) || !held)
+                continue;
+            if (std::find(held->adapters.begin(), held->adapters.end(), adapter) != held->adapters.end())
+                continue;
+            size_t places = 0;
+            std::optional<HeldModel> leastAsked;
+            double leastRate = std::numeric_limits<double>::max();
+            for (const HeldModel& model : replica.held) {
+                places += model.adapters.size();
+                for (const std::string& other : model.adapters) {
+                    double rate = adapterRate(planning, model.name, other);
+                    if (rate < leastRate) {
+                        leastRate = rate;
+                        leastAsked = HeldModel { model.name, { other } };
+                    }
+                }
+            }
+            double score = replica.load;
+            std::optional<HeldModel> gone;
+            bool isFull = places >= engine.adapterPlaces
+                || usedMb(engine, replica) + spec.adapterMb > engine.weightsMb;
+            if (isFull) {
+                if (!leastAsked)
+                    continue;
+                gone = leastAsked;
+                score += leastRate + 0.2;
+            }
+            if (score < bestScore) {
+                bestScore = score;
+                best = &replica;
+                bestGone = gone;
+            }
+        }
+        if (!best)
+            return;
+        planning.engaged.insert(best->id);
+        PlanJob job;
+        job.replica = best->id;
+        job.model = spec.name;
+        job.adapter = adapter;
+        if (bestGone)
+            job.unloadAdapters.push_back(*bestGone);
+        planning.jobs.push_back(std::move(job));
+    }
+
+} // namespace
+
+std::vector<PlanJob> planJobs(const PlanInput& input, const PlanOptions& options)
+{
+    Planning planning { input, options, {}, {}, {}, input.storeLoadsLeft, {} };
+    for (const auto& [key, row] : input.demand) {
+        if (key.service != input.service || !input.engine->models.contains(key.model))
+            continue;
+        ModelDemand& demand = planning.demand[key.model];
+        demand.waiting += row.waiting;
+        demand.worth += row.worth;
+        demand.rate += row.arrivals;
+    }
+    for (const PlanReplica& replica : input.replicas) {
+        for (const HeldModel& held : replica.held)
+            ++planning.copies[held.name];
+        for (const std::string& model : replica.coming)
+            ++planning.copies[model];
+    }
+    std::vector<std::pair<double, const ModelSpec*>> order;
+    for (const auto& [name, demand] : planning.demand)
+        order.push_back({ demand.worth, &input.engine->models.at(name) });
+    std::sort(order.begin(), order.end(),
+        [](auto& a, auto& b) { return a.first != b.first ? a.first > b.first : a.second->name < b.second->name; });
+
+    // Models that are waited for and that nobody holds, by the worth that waits.
+    for (auto& [worth, spec] : order) {
+        if (planning.demand[spec->name].waiting > 0 && planning.copies[spec->name] == 0)
+            placeModel(planning, *spec, std::numeric_limits<double>::max());
+    }
+    // Adapters of models that are held.
+    for (const auto& [key, row] : input.demand) {
+        if (key.service != input.service || key.adapter.empty() || row.waiting <= 0)
+            continue;
+        auto spec = input.engine->models.find(key.model);
+        if (spec == input.engine->models.end())
+            continue;
+        auto least = leastLoad(planning, key.model, key.adapter);
+        if (!least || *least > options.adapterLoad)
+            placeAdapter(planning, spec->second, key.adapter);
+    }
+    // Further copies of models whose holders are all busy.
+    for (auto& [worth, spec] : order) {
+        auto least = leastLoad(planning, spec->name, "");
+        bool isComing = false;
+        for (const PlanReplica& replica : input.replicas)
+            isComing = isComing || replica.coming.contains(spec->name);
+        if (!least || *least < options.copyLoad || isComing || planning.copies[spec->name] == 0)
+            continue;
+        double gain = planning.demand[spec->name].rate / planning.copies[spec->name];
+        placeModel(planning, *spec, gain / options.replaceRatio);
+    }
+    return planning.jobs;
+}
+
+} // namespace rattanshunt::models
--- /dev/null
+++ b/src/models/Planner.h
@@ -0,0 +1,67 @@
+// Which replica loads which model, and what makes way for it.
+//
+// Contents
+//   [1] Data            PlanReplica, PlanInput, PlanJob, PlanOptions
+//   [2] Decision        planJobs()
+//
+// Load pattern: a few models get most requests and keep several replicas busy; many rare ones are asked for now and
+// then, evenly, and do not all fit. When demand moves or replicas crash, many are missing at once. A model that is
+// waited for goes to the replica where it is ready soonest (host memory, disk, then the weight store) and where what
+// makes way is asked for least. Jobs go in the order of the worth that waits, since loads from the weight store are few.
+//
+// Pure; safe from any thread.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fabric/Fabric.h"
+
+namespace rattanshunt::models {
+
+// ---- [1] Data ----------------------------------------------------------------------------------
+
+struct PlanReplica {
+    std::string id;
+    bool isEngaged = false;                 // with a job
+    double load = 0;                        // requests running and waiting, for each slot
+    std::vector<gateway::HeldModel> held;
+    std::set<std::string> coming;           // models that a job is bringing
+    std::set<std::string> inMemory;         // weights at hand in host memory
+    std::set<std::string> onDisk;           // weights at hand on disk
+};
+
+struct PlanInput {
+    const gateway::Engine* engine = nullptr;
+    std::string service;
+    std::vector<PlanReplica> replicas; // usable ones, with a report of their own
+    fabric::DemandTable demand;        // of all services
+    double storeLoadsLeft = 0;         // loads from the weight store that may begin now
+};
+
+struct PlanJob {
+    std::string replica;
+    std::vector<std::string> unloadModels;
+    std::vector<gateway::HeldModel> unloadAdapters;
+    std::string model;
+    std::string adapter;     // empty: the model itself
+    bool fromStore = false;  //
+    base::Millis estimate { 0 };
+};
+
+struct PlanOptions {
+    double copyLoad = 0.35;      // load of all holders beyond which a model gets one more copy
+    double adapterLoad = 0.5;    // load of all holders of an adapter beyond which it gets one more place
+    double lastCopyWeight = 4;   // how much dearer the only copy of a model is to unload than one of several
+    double keepRate = 0.02;      // arrivals a second that a held model counts for at least
+    double replaceRatio = 2;     // how much more a further copy must be asked for than what makes way
+};
+
+// ---- [2] Decision ------------------------------------------------------------------------------
+
+// At most one job for each replica that is not engaged.
+std::vector<PlanJob> planJobs(const PlanInput&, const PlanOptions&);
+
+} // namespace rattanshunt::models
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -84,6 +84,7 @@
     std::function<void()> stopAccepting;     // idle connections close; running exchanges go on. Own thread.
     std::function<void()> closeAll;          // cuts every connection, also those with an exchange. Own thread.
     std::function<size_t()> connectionCount; // own thread
+    std::function<void(const HttpServerLimits&)> setLimits; // for what is read from now on. Own thread.
 };
 
 struct HttpServerEvents {
@@ -118,7 +119,7 @@
     static std::unique_ptr<HttpConnection> create(Loop&, const base::Address&);
     virtual ~HttpConnection() = default;
 
-    // Each call suspends until done or until `deadline`. After an error other than None the connection is closed.
+    // Each call suspends until done or until `deadline`. The address is sent as Host unless the request names one. After an error other than None the connection is closed.
     virtual HttpCallError connect(base::TimePoint deadline) = 0;
     virtual HttpCallError send(const HttpRequest&, base::TimePoint deadline) = 0;
     virtual HttpCallError readHead(HttpResponse&, base::TimePoint deadline) = 0;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -56,9 +56,9 @@
             text += request.method;
             text += ' ';
             text += request.target;
-            text += " HTTP/1.1\r\nHost: ";
-            text += base::formatAddress(m_address);
-            text += "\r\n";
+            text += " HTTP/1.1\r\n";
+            if (httpHeader(request.headers, "Host").empty())
+                text += "Host: " + base::formatAddress(m_address) + "\r\n";
             for (const HttpHeader& header : request.headers) {
                 text += header.name;
                 text += ": ";
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -411,6 +411,7 @@
         for (auto& [number, close] : server->closers)
             close(true);
     };
+    handle.setLimits = [server](const HttpServerLimits& changed) { server->limits = changed; };
     handle.connectionCount = [server] { return server->connections; };
     return handle;
 }
--- /dev/null
+++ b/src/settings/GatewaySettings.cpp
@@ -0,0 +1,105 @@
+#include "settings/GatewaySettings.h"
+
+#include <cstdlib>
+#include <fstream>
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+DECLARE_string(name);
+DECLARE_string(data_center);
+DECLARE_string(client_listen);
+DECLARE_string(peer_listen);
+DECLARE_string(log_level);
+
+DEFINE_string(ready_listen, "127.0.0.1:8083", "IP:PORT for the readiness probe of the gateway");
+DEFINE_string(metrics_listen, "127.0.0.1:8084", "IP:PORT for the metrics of the gateway");
+DEFINE_string(store, "", "IP:PORT of the platform's metadata store, for the gateway");
+DEFINE_double(cpu_share, 1, "part of a core that this instance has");
+DEFINE_int32(configuration_ms, 2000, "time until a change of the configuration must be in force");
+DEFINE_int32(revoke_ms, 5000, "time until a withdrawn key must be refused");
+DEFINE_int32(order_gap_ms, 3000, "time between the last order of one holder and the first of another");
+DEFINE_int32(grace_seconds, 8, "time between SIGTERM and the end of the process");
+DEFINE_int32(repeat_window_seconds, 10, "window in which repeats of requests are counted");
+DEFINE_double(repeat_ratio, 0.2, "repeats for each request of a service");
+DEFINE_double(repeat_extra, 100, "repeats in a window beyond that, of the whole fleet");
+DEFINE_double(quota_slack, 0, "tokens that the fleet may grant beyond an account's burst");
+
+namespace rattanshunt::settings {
+
+namespace {
+
+    base::Address readAddress(const char* flag, const std::string& value, std::vector<SettingFault>& faults)
+    {
+        auto address = base::parseAddress(value);
+        if (!address)
+            faults.push_back({ flag, value, "IP:PORT with an IP number" });
+        return address.value_or(base::Address {});
+    }
+
+    double readPositive(const char* flag, double value, double most, std::vector<SettingFault>& faults)
+    {
+        if (!(value >= 0 && value <= most))
+            faults.push_back({ flag, fmt::format("{}", value), fmt::format("a number from 0 to {}", most) });
+        return value;
+    }
+
+} // namespace
+
+std::optional<std::string> settingsFile()
+{
+    const char* path = std::getenv("RATTANSHUNT_NODE_FILE");
+    return path ? std::optional<std::string>(path) : std::nullopt;
+}
+
+void settingsReadFile(const std::string& path, std::vector<SettingFault>& faults)
+{
+    std::ifstream file(path);
+    if (!file) {
+        faults.push_back({ "RATTANSHUNT_NODE_FILE", path, "a file that can be read" });
+        return;
+    }
+    std::string line;
+    while (std::getline(file, line)) {
+        size_t equals = line.find('=');
+        if (!line.starts_with("--") || equals == std::string::npos)
+            continue;
+        std::string flag = line.substr(2, equals - 2);
+        std::string value = line.substr(equals + 1);
+        if (gflags::SetCommandLineOption(flag.c_str(), value.c_str()).empty())
+            faults.push_back({ flag, value, "a known flag with a value of its type" });
+    }
+}
+
+GatewaySettings gatewaySettingsCheck(std::vector<SettingFault>& faults)
+{
+    GatewaySettings settings;
+    if (!base::isResourceName(FLAGS_name))
+        faults.push_back({ "name", FLAGS_name, "1 to 63 characters of a-z, 0-9, '-', '_' and '.'" });
+    settings.name = FLAGS_name;
+    settings.dataCenter = FLAGS_data_center;
+    settings.clientListen = readAddress("client_listen", FLAGS_client_listen, faults);
+    settings.peerListen = readAddress("peer_listen", FLAGS_peer_listen, faults);
+    settings.readyListen = readAddress("ready_listen", FLAGS_ready_listen, faults);
+    settings.metricsListen = readAddress("metrics_listen", FLAGS_metrics_listen, faults);
+    settings.store = readAddress("store", FLAGS_store, faults);
+    settings.cpuShare = readPositive("cpu_share", FLAGS_cpu_share, 1024, faults);
+    settings.logLevel = logLevelCheck(FLAGS_log_level, faults);
+    constexpr double hour = 3600000;
+    auto millis = [&](const char* flag, int value) {
+        return base::Millis(static_cast<int64_t>(readPositive(flag, value, hour, faults)));
+    };
+    settings.configurationTime = millis("configuration_ms", FLAGS_configuration_ms);
+    settings.revokeTime = millis("revoke_ms", FLAGS_revoke_ms);
+    settings.orderGap = millis("order_gap_ms", FLAGS_order_gap_ms);
+    settings.graceTime = base::Seconds(
+        static_cast<int64_t>(readPositive("grace_seconds", FLAGS_grace_seconds, 3600, faults)));
+    settings.repeatWindow = base::Seconds(
+        static_cast<int64_t>(readPositive("repeat_window_seconds", FLAGS_repeat_window_seconds, 3600, faults)));
+    settings.repeatRatio = readPositive("repeat_ratio", FLAGS_repeat_ratio, 100, faults);
+    settings.repeatExtra = readPositive("repeat_extra", FLAGS_repeat_extra, 1e9, faults);
+    settings.quotaSlack = readPositive("quota_slack", FLAGS_quota_slack, 1e12, faults);
+    return settings;
+}
+
+} // namespace rattanshunt::settings
--- /dev/null
+++ b/src/settings/GatewaySettings.h
@@ -0,0 +1,49 @@
+// Settings of the gateway: the product in front of a platform's replicas.
+//
+// They are flags like the others (Settings.h) and may also stand in a file, one `--flag=value` a line, whose path the
+// variable RATTANSHUNT_NODE_FILE names. The file is read again at SIGHUP and when it changes; what can't change while
+// the process runs keeps its value.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/Time.h"
+#include "settings/Settings.h"
+
+namespace rattanshunt::settings {
+
+struct GatewaySettings {
+    // Fixed while the process runs.
+    std::string name;
+    std::string dataCenter;
+    base::Address clientListen;
+    base::Address peerListen;
+    base::Address readyListen;
+    base::Address metricsListen;
+    base::Address store;
+    double cpuShare = 1; // of a core
+
+    // May change.
+    base::LogLevel logLevel = base::LogLevel::Info;
+    base::Millis configurationTime { 2000 }; // until a change must be in force
+    base::Millis revokeTime { 5000 };        // until a withdrawn key must be refused, whatever the daemon can reach
+    base::Millis orderGap { 3000 };          // between orders of two holders
+    base::Seconds graceTime { 8 };           // between SIGTERM and SIGKILL
+    base::Seconds repeatWindow { 10 };
+    double repeatRatio = 0.2;
+    double repeatExtra = 100;
+    double quotaSlack = 0;
+};
+
+// The file that RATTANSHUNT_NODE_FILE names; nothing if the variable is not set.
+std::optional<std::string> settingsFile();
+
+// Reads the flags in a file. Faults are appended. Call on one thread only.
+void settingsReadFile(const std::string& path, std::vector<SettingFault>& faults);
+
+// Checks the flags. Faults are appended.
+GatewaySettings gatewaySettingsCheck(std::vector<SettingFault>& faults);
+
+} // namespace rattanshunt::settings
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -52,12 +52,13 @@
     constexpr size_t minSecretBytes = 16;
     constexpr size_t digestDigits = 64;
     constexpr std::string_view variablePrefix = "RATTANSHUNT_";
+    constexpr const char* fileVariable = "RATTANSHUNT_NODE_FILE"; // names a file of flags, see GatewaySettings.h
     // Not shown in reports of faults.
     const std::set<std::string> secretFlags = { "fleet_secret" };
 
     bool isOwnFlag(const gflags::CommandLineFlagInfo& flag)
     {
-        return flag.filename.find("settings/Settings.cpp") != std::string::npos;
+        return flag.filename.find("/settings/") != std::string::npos;
     }
 
     std::string variableName(const std::string& flag)
@@ -117,18 +118,7 @@
             return list;
         }
 
-        base::LogLevel logLevel(const std::string& value)
-        {
-            if (value == "debug")
-                return base::LogLevel::Debug;
-            if (value == "warning")
-                return base::LogLevel::Warning;
-            if (value == "error")
-                return base::LogLevel::Error;
-            if (value != "info")
-                fault("log_level", value, "debug, info, warning or error");
-            return base::LogLevel::Info;
-        }
+        std::vector<SettingFault>& faults() { return m_faults; }
 
     private:
         std::vector<SettingFault>& m_faults;
@@ -154,7 +144,7 @@
             check.fault(
                 "admin_token_digest", FLAGS_admin_token_digest, "64 hexadecimal digits in lower case, or empty");
         settings.trafficThreads = check.number<size_t>("traffic_threads", FLAGS_traffic_threads, 1, 64);
-        settings.logLevel = check.logLevel(FLAGS_log_level);
+        settings.logLevel = logLevelCheck(FLAGS_log_level, check.faults());
     }
 
     void checkRequests(Checker& check, Settings& settings)
@@ -202,7 +192,7 @@
 {
     std::vector<gflags::CommandLineFlagInfo> flags;
     gflags::GetAllFlags(&flags);
-    std::set<std::string> variables;
+    std::set<std::string> variables = { fileVariable };
     std::vector<SettingFault> faults;
     for (const gflags::CommandLineFlagInfo& flag : flags) {
         if (!isOwnFlag(flag))
@@ -232,6 +222,19 @@
     return settings;
 }
 
+base::LogLevel logLevelCheck(const std::string& value, std::vector<SettingFault>& faults)
+{
+    if (value == "debug")
+        return base::LogLevel::Debug;
+    if (value == "warning")
+        return base::LogLevel::Warning;
+    if (value == "error")
+        return base::LogLevel::Error;
+    if (value != "info")
+        faults.push_back({ "log_level", value, "debug, info, warning or error" });
+    return base::LogLevel::Info;
+}
+
 std::string settingFaultText(const SettingFault& fault)
 {
     return fmt::format("setting {}: \"{}\" is not allowed; allowed: {}", fault.flag, fault.value, fault.allowed);
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -64,6 +64,9 @@
 // Reads the flags. All faults are appended to `faults`.
 Settings settingsCheck(std::vector<SettingFault>& faults);
 
+// The level that a setting's text names; a fault is appended if it names none.
+base::LogLevel logLevelCheck(const std::string& value, std::vector<SettingFault>& faults);
+
 std::string settingFaultText(const SettingFault&);
 
 // A Markdown table of all settings, for docs/OPERATING.md.
