Refuse what will not be ready in time; load from the store only as many at once as it serves

Callers waited for models until they left after 4.8 s.

Change: members keep their own rates, so that a new hub has them at once, and nothing is unloaded in its first 1.8 s; loads from the store are limited by the number that the store is seen to serve at full speed; the hub tells when missing models will be ready, and a request that can't be served before its caller leaves is refused with that time.

--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -26,9 +26,9 @@
 
     constexpr base::Millis logInterval { 100 };
     constexpr base::Millis fileInterval { 1000 };  // between two looks at the settings file
-    constexpr base::Millis balancerTime { 3200 };  // until the balancer, asking once a second, has taken this daemon out
+    constexpr base::Millis balancerTime { 2500 };  // until two probes, one a second, have taken this daemon out
     constexpr base::Millis drainPoll { 20 };
-    constexpr base::Millis exitMargin { 700 };     // before the end of the grace time
+    constexpr base::Millis exitMargin { 300 };     // before the end of the grace time
     constexpr base::Millis revokeMargin { 200 };   // before the limit on the age of configuration
     constexpr double denyPart = 0.9;               // of the time for changes, up to which unknown routes are refused
 
--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -27,7 +27,7 @@
     constexpr base::Millis leaseMargin { 300 };      // before the lease's end, from which on nothing is ordered
     constexpr base::Millis outageLeast { 300 };      // failures of the store shorter than this let nothing lapse
     constexpr base::Millis grantWait { 150 };        // for the hub to grant usage
-    constexpr double rateTime = 5;                   // s over which arrivals are smoothed
+    constexpr base::Millis ratesInterval { 1500 };   // between two reports of rates, which change slowly
     constexpr double grantAhead = 2;                 // requests of this size that one grant covers
 
     int64_t ageMillis(BootTime now, BootTime then)
@@ -35,16 +35,6 @@
         return std::chrono::duration_cast<base::Millis>(now - then).count();
     }
 
-    DemandTable demandFromJson(const Json& rows)
-    {
-        DemandTable table;
-        for (const Json& row : rows) {
-            DemandKey key { row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::string>() };
-            table[key] = { row.at(3).get<double>(), row.at(4).get<double>(), row.at(5).get<double>() };
-        }
-        return table;
-    }
-
 } // namespace
 
 Fabric::Fabric(net::Loop& loop, FabricOptions options, const gateway::Dialect& dialect, platform::Kv& kv)
@@ -326,9 +316,8 @@
     m_leaseUntil = askedAt + m_options.leaseTime;
     m_fencingToken = revision;
     m_members.clear();
-    m_rates.clear();
-    m_ratesAt = BootClock::now();
     m_grantBook = {};
+    m_grantBook.startPart = quota::successorStartPart;
     m_ordersFrom = BootTime::max();
     base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
     m_loop.spawn([this] { renewLoop(); });
@@ -357,6 +346,8 @@
             return;
         }
     }
+    if (isFirst)
+        m_grantBook.startPart = 1;
     m_ordersFrom = isFirst || wasSelf ? now : now + m_options.orderGap;
 }
 
@@ -420,16 +411,26 @@
     return Json(Json::value_t::discarded);
 }
 
-void Fabric::takeDemand(HubMember& member, DemandTable demand, BootTime now)
+void Fabric::takeDemand(HubMember& member, const Json& body, BootTime now)
 {
-    double decay = std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_ratesAt)) / rateTime);
-    for (auto& [key, rate] : m_rates)
-        rate *= decay;
-    m_ratesAt = now;
-    for (const auto& [key, row] : demand)
-        m_rates[key] += row.arrivals / rateTime;
-    member.demand = std::move(demand);
     member.lastSeen = now;
+    auto keyOf = [](const Json& row) {
+        return DemandKey { row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<std::string>() };
+    };
+    if (body.contains("rates")) {
+        member.demand.clear();
+        for (const Json& row : body.at("rates"))
+            member.demand[keyOf(row)].rate = row.at(3).get<double>();
+    }
+    for (auto& [key, demand] : member.demand)
+        demand.waiting = demand.worth = 0;
+    if (body.contains("waiting")) {
+        for (const Json& row : body.at("waiting")) {
+            Demand& demand = member.demand[keyOf(row)];
+            demand.waiting = row.at(3).get<double>();
+            demand.worth = row.at(4).get<double>();
+        }
+    }
 }
 
 Json Fabric::answerSync(const std::string& from, const Json& body)
@@ -440,12 +441,12 @@
         HubMember& member = m_members[from];
         if (address)
             member.address = *address;
-        takeDemand(member, demandFromJson(body.value("demand", Json::array())), now);
+        takeDemand(member, body, now);
         Json unused = body.value("unused", Json::object());
         for (auto& [account, tokens] : unused.items())
             quota::bookGiveBack(m_grantBook, account, tokens.get<double>());
         std::erase_if(m_members, [&](auto& item) { return now - item.second.lastSeen > memberSilence; });
-        m_memberCount = m_members.size() + (m_members.contains(m_options.name) ? 0 : 1);
+        m_memberCount = m_members.size() + 1;
     }
     return describe(body, now);
 }
@@ -490,6 +491,10 @@
     reply["entries"] = std::move(entries);
     reply["placed"] = std::move(placed);
     reply["loads"] = std::move(loads);
+    Json outlook = Json::array();
+    for (const auto& [key, readyAt] : m_outlook)
+        outlook.push_back({ key.first, key.second, ageMillis(readyAt, now) });
+    reply["outlook"] = std::move(outlook);
     Json removed = Json::array();
     for (const auto& [id, stamp] : m_directory.removed) {
         if (stamp > since)
@@ -508,15 +513,15 @@
 DemandTable Fabric::collectDemand(BootTime now)
 {
     DemandTable table;
-    takeDemand(m_members[m_options.name], m_demandSource ? m_demandSource() : DemandTable {}, now);
-    for (const auto& [key, rate] : m_rates)
-        table[key].arrivals = rate;
+    if (m_demandSource)
+        table = m_demandSource();
     for (const auto& [name, member] : m_members) {
         if (now - member.lastSeen > memberSilence)
             continue;
         for (const auto& [key, demand] : member.demand) {
             table[key].waiting += demand.waiting;
             table[key].worth += demand.worth;
+            table[key].rate += demand.rate;
         }
     }
     return table;
@@ -526,14 +531,27 @@
 
 Json Fabric::syncBody()
 {
-    Json demand = Json::array();
-    if (m_demandSource) {
-        for (const auto& [key, row] : m_demandSource())
-            demand.push_back({ key.service, key.model, key.adapter, row.waiting, row.worth, row.arrivals });
-    }
-    return Json { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubStart },
-        { "stamp", m_hubStamp }, { "configuration", m_configurationRevision }, { "demand", std::move(demand) },
+    BootTime now = BootClock::now();
+    Json body { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubStart },
+        { "stamp", m_hubStamp }, { "configuration", m_configurationRevision },
         { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
+    if (!m_demandSource)
+        return body;
+    Json waiting = Json::array();
+    Json rates = Json::array();
+    for (const auto& [key, row] : m_demandSource()) {
+        if (row.waiting > 0)
+            waiting.push_back({ key.service, key.model, key.adapter, row.waiting, row.worth });
+        if (row.rate > 0)
+            rates.push_back({ key.service, key.model, key.adapter, row.rate });
+    }
+    if (!waiting.empty())
+        body["waiting"] = std::move(waiting);
+    if (now - m_ratesSentAt >= ratesInterval) {
+        body["rates"] = std::move(rates);
+        m_ratesSentAt = now;
+    }
+    return body;
 }
 
 bool Fabric::syncWith(const base::Address& address, bool isHub)
@@ -623,7 +641,13 @@
         directory::directoryApplyReport(
             m_directory, row.at(0).get<std::string>(), report, askedAt - base::Millis(row.at(4).get<int64_t>()));
     }
+    m_outlook.clear();
+    for (const Json& row : body.at("outlook"))
+        m_outlook[{ row.at(0).get<std::string>(), row.at(1).get<std::string>() }]
+            = askedAt + base::Millis(row.at(2).get<int64_t>());
     if (isHub) {
+        if (m_hubStart != body.at("start").get<std::string>())
+            m_ratesSentAt = {}; // a new hub knows no rates
         m_hubStart = body.at("start").get<std::string>();
         m_hubStamp = body.at("stamp").get<uint64_t>();
         m_memberCount = body.at("members").get<size_t>();
@@ -677,7 +701,8 @@
         }
     }
     base::counterAdd("quota_decided_alone_total");
-    return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), BootClock::now());
+    double luck = static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
+    return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), luck, BootClock::now());
 }
 
 void Fabric::quotaGiveBack(const std::string& account, double tokens)
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -61,7 +61,7 @@
 struct Demand {
     double waiting = 0;  // requests that wait for a replica now
     double worth = 0;    // the sum of their weights
-    double arrivals = 0; // since the last report
+    double rate = 0;     // arrivals a second, smoothed
 };
 
 struct DemandKey {
@@ -72,12 +72,13 @@
     auto operator<=>(const DemandKey&) const = default;
 };
 
+using ModelKey = std::pair<std::string, std::string>; // service and model
 using DemandTable = std::map<DemandKey, Demand>;
 
 struct HubMember {
     base::Address address;
     base::BootTime lastSeen {};
-    DemandTable demand; // arrivals are added up in Fabric
+    DemandTable demand;
 };
 
 // ---- [2] Fabric --------------------------------------------------------------------------------
@@ -95,7 +96,7 @@
     // Called after each change of configuration, replicas or placement. Must not suspend.
     void subscribe(std::function<void()> onChange);
 
-    // Gives the demand of this daemon when asked; called at each sync.
+    // Gives the demand of this daemon when asked; called at each sync. Must not suspend.
     void setDemandSource(std::function<DemandTable()>);
 
     // Asks for a sync soon. Does not suspend.
@@ -105,18 +106,23 @@
     bool quotaTake(const gateway::Account&, double tokens);
     void quotaGiveBack(const std::string& account, double tokens);
 
-    // The fleet's demand, this daemon's included: what waits now, and arrivals a second, smoothed. Hub only.
+    // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
     // Gives the lease up for good cause: another holder's orders were seen.
     void resign(const char* why);
 
+    // Tells members when models that nobody holds will be ready. Hub only.
+    void setOutlook(std::map<ModelKey, base::BootTime> outlook) { m_outlook = std::move(outlook); }
+
     // Tells members of a change in placement. Call after writing to replicas in directory().
     void placementChanged(const std::string& replica);
 
     // -- queries --
     gateway::ConfigurationPointer configuration() const { return m_configuration; }
     directory::Directory& directory() { return m_directory; }
+    const std::map<ModelKey, base::BootTime>& outlook() const { return m_outlook; }
+    bool hasHub() const { return m_isHub || m_hubAnswers; }
     base::BootTime provenAt() const { return m_provenAt; } // the knowledge was true at this time or later
     size_t memberCount() const;
     bool isHub() const { return m_isHub; }
@@ -153,7 +159,7 @@
     nlohmann::json answer(const std::string& from, const std::string& method, const nlohmann::json& body);
     nlohmann::json answerSync(const std::string& from, const nlohmann::json& body);
     nlohmann::json describe(const nlohmann::json& asked, base::BootTime now);
-    void takeDemand(HubMember&, DemandTable, base::BootTime now);
+    void takeDemand(HubMember&, const nlohmann::json& body, base::BootTime now);
 
     // -- a member --
     bool syncWith(const base::Address&, bool isHub);
@@ -203,8 +209,8 @@
     int64_t m_fencingToken = 0;
     base::BootTime m_ordersFrom {};
     std::map<std::string, HubMember> m_members; // hub only
-    std::map<DemandKey, double> m_rates;        // hub only: arrivals a second, decaying
-    base::BootTime m_ratesAt {};
+    std::map<ModelKey, base::BootTime> m_outlook; // as told by the hub: estimates
+    base::BootTime m_ratesSentAt {};
     quota::GrantBook m_grantBook;               // hub only
     quota::LocalGrants m_grants;
 };
--- a/src/gateway/Configuration.cpp
+++ b/src/gateway/Configuration.cpp
@@ -55,6 +55,15 @@
     return last;
 }
 
+base::Millis routePatience(const Route& route)
+{
+    // Callers leave a stream after a silence of 2 s, 4 objectives or 8 pauses, whichever is longest.
+    constexpr base::Millis silenceLeast { 2000 };
+    if (!route.isStream)
+        return route.timeout;
+    return std::min(route.timeout, std::max({ silenceLeast, route.targetLatency * 4, route.targetGap * 8 }));
+}
+
 const Account* accountOfKey(const Configuration& configuration, std::string_view key)
 {
     auto found = configuration.accountByKey.find(std::string(key));
--- a/src/gateway/Configuration.h
+++ b/src/gateway/Configuration.h
@@ -42,6 +42,7 @@
     bool isPublic = false;                // needs no key
     base::Millis timeout { 30000 };       // longest time to an answer
     base::Millis targetLatency { 1000 };  // to the first byte that counts
+    base::Millis targetGap { 0 };         // longest pause between events of a stream that is on time
     int priority = 5;                     // 0 is served first
     int maxAttempts = 1;                  // replicas that one request may be sent to
     std::vector<ServiceWeight> services;  // shares of the traffic
@@ -115,6 +116,9 @@
 // The service that a request with this draw (0 to 1) goes to; null if the route has none.
 const Service* serviceDraw(const Configuration&, const Route&, double draw);
 
+// How long callers of the route wait for the first byte before they leave.
+base::Millis routePatience(const Route&);
+
 const Account* accountOfKey(const Configuration&, std::string_view key);
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -16,6 +16,8 @@
     constexpr int urgencyFirst = 2; // of the most urgent requests; 0 and 1 stay free
     constexpr int urgencyLast = 9;
 
+    constexpr double rateLeast = 0.001; // arrivals a second below which a model is forgotten
+
     fabric::DemandKey demandKey(const Session& session)
     {
         return { session.service->name, session.head.model, session.head.adapter };
@@ -75,7 +77,7 @@
         }
         wakeWaiting();
     });
-    m_fabric.setDemandSource([this] { return takeDemand(); });
+    m_fabric.setDemandSource([this] { return demand(); });
     m_loop.spawn([this] {
         while (!m_isDraining) {
             net::sleepFor(m_options.sweepInterval);
@@ -91,6 +93,7 @@
 void Gateway::beginDrain()
 {
     m_isDraining = true;
+    wakeWaiting();
 }
 
 void Gateway::stopAccepting()
@@ -113,12 +116,22 @@
     return m_fabric.configuration() && now - m_fabric.provenAt() < m_options.revokeLimit;
 }
 
-fabric::DemandTable Gateway::takeDemand()
+void Gateway::decayRates(BootTime now)
+{
+    double decay = std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_ratesAt))
+        / base::secondsOf(m_options.rateTime));
+    for (auto& [key, rate] : m_rates)
+        rate *= decay;
+    std::erase_if(m_rates, [](auto& item) { return item.second < rateLeast; });
+    m_ratesAt = now;
+}
+
+fabric::DemandTable Gateway::demand()
 {
+    decayRates(BootClock::now());
     fabric::DemandTable table;
-    for (auto& [key, arrivals] : m_arrivals)
-        table[key].arrivals = arrivals;
-    m_arrivals.clear();
+    for (auto& [key, rate] : m_rates)
+        table[key].rate = rate;
     for (Session* session : m_waiting) {
         fabric::Demand& row = table[demandKey(*session)];
         row.waiting += 1;
@@ -225,6 +238,7 @@
     if (session.head.timeLeft)
         time = std::min(time, *session.head.timeLeft);
     session.deadline = session.arrivedAt + time;
+    session.patienceEnd = session.arrivedAt + std::min(time, routePatience(*session.route));
     if (!findAccount(session))
         return false;
     session.urgency = std::min(urgencyLast, urgencyFirst + session.urgency);
@@ -245,7 +259,8 @@
         session.wake.set();
     });
     if (admit(session)) {
-        m_arrivals[demandKey(session)] += 1;
+        decayRates(session.arrivedAt);
+        m_rates[demandKey(session)] += 1 / base::secondsOf(m_options.rateTime);
         repeatCountRequest(m_repeats[session.service->name], session.arrivedAt, m_options.repeats);
         runAttempts(session);
         if (session.progress.attemptsRun == 0 && !session.account.empty())
@@ -316,42 +331,74 @@
     return chosen ? replicas[*chosen] : nullptr;
 }
 
-// Whether a replica on which the model is being loaded will be ready early enough.
-bool Gateway::mayComeInTime(const Session& session, BootTime now) const
+// When the model will be ready somewhere, if that is known.
+std::optional<BootTime> Gateway::readyEstimate(const Session& session) const
 {
-    return sessionTimeLeft(session, now) > m_options.serveLeast;
+    std::optional<BootTime> earliest;
+    for (const auto& [id, replica] : m_fabric.directory().replicas) {
+        if (replica.entry.service != session.service->name)
+            continue;
+        for (const directory::ComingModel& coming : replica.coming) {
+            if (coming.model == session.head.model && (!earliest || coming.readyAt < *earliest))
+                earliest = coming.readyAt;
+        }
+    }
+    if (earliest)
+        return earliest;
+    auto found = m_fabric.outlook().find({ session.service->name, session.head.model });
+    if (found != m_fabric.outlook().end())
+        return found->second;
+    return std::nullopt;
 }
 
 // Waits for a replica that can take the request. Null with a reason if none comes. Suspends.
 const directory::Replica* Gateway::awaitReplica(
-    Session& session, const std::set<std::string>& tried, const char*& why)
+    Session& session, const std::set<std::string>& tried, Refusal& refusal)
 {
+    BootTime since = BootClock::now();
     bool isHurried = false;
     while (!session.isGone) {
         bool isHeld = false;
         const directory::Replica* replica = chooseReplica(session, tried, isHeld);
         BootTime now = BootClock::now();
-        if (!mayServe(now) && !session.account.empty())
-            why = "configuration_stale";
-        else if (replica) {
+        if (!mayServe(now) && !session.account.empty()) {
+            refusal = { "configuration_stale", m_options.retryAfter };
+            break;
+        }
+        if (replica) {
             m_waiting.erase(&session);
             return replica;
-        } else if (!mayComeInTime(session, now))
-            why = isHeld ? "replicas_full" : "model_not_loaded";
-        else if (!tried.empty() && isHeld && !session.service->engine)
-            why = "no_other_replica";
-        else if (m_waiting.size() >= m_options.waitingMost)
-            why = "queue_full";
-        if (*why)
+        }
+        if (m_isDraining && now - since > m_options.drainWait) {
+            refusal = { "stopping", m_options.waiting.retryLeast };
             break;
+        }
+        WaitView view;
+        view.waited = now - since;
+        view.timeLeft = session.deadline - now;
+        view.patienceLeft = session.patienceEnd - now;
+        view.waitingHere = m_waiting.size();
+        view.isHeld = isHeld;
+        view.isEngine = session.service->engine.has_value();
+        view.hasTriedOthers = !tried.empty();
+        view.hasHub = m_fabric.hasHub();
+        view.isAdapter = !session.head.adapter.empty();
+        if (!isHeld) {
+            if (auto readyAt = readyEstimate(session))
+                view.readyIn = *readyAt - now;
+        }
+        WaitDecision decision = waitDecide(view, m_options.waiting);
+        if (!decision.mayWait) {
+            refusal = { decision.why, decision.retryAfter };
+            break;
+        }
         m_waiting.insert(&session);
         if (!isHeld && !isHurried) {
             isHurried = true;
             m_fabric.hurry();
         }
         session.wake.reset();
-        base::Duration most = sessionTimeLeft(session, now) - m_options.serveLeast;
-        session.wake.waitUntil(base::Clock::now() + std::min<base::Duration>(most, base::Millis(150)));
+        session.wake.waitUntil(base::Clock::now() + decision.lookAgain);
     }
     m_waiting.erase(&session);
     return nullptr;
@@ -398,21 +445,19 @@
     AttemptResult last;
     last.end = AttemptEnd::NotRun;
     while (true) {
-        const char* why = "";
-        const directory::Replica* replica = awaitReplica(session, tried, why);
+        Refusal refusal;
+        const directory::Replica* replica = awaitReplica(session, tried, refusal);
         if (!replica) {
-            last.why = session.isGone ? "caller_gone" : why;
-            bool isTrue = refusalIsTrue(session.progress);
-            return finish(session, session.progress.hasPassedHead ? NextStep::Cut
-                    : isTrue                                       ? NextStep::Refuse
-                                                                   : NextStep::Fail,
-                last);
+            if (last.end == AttemptEnd::RanFailed)
+                return finish(session, NextStep::PassFailure, last, std::nullopt);
+            last.why = session.isGone ? "caller_gone" : refusal.why;
+            return finish(session, stepWithoutReplica(session.progress), last, refusal.retryAfter);
         }
         std::string id = replica->entry.id;
         last = attempt(session, *replica);
         BootTime now = BootClock::now();
         RepeatMeans means;
-        means.hasTime = !session.isGone && sessionTimeLeft(session, now) > m_options.serveLeast;
+        means.hasTime = !session.isGone && sessionTimeLeft(session, now) > m_options.waiting.serveLeast;
         NextStep next = stepAfterAttempt(session.progress, last.end, means);
         if (next == NextStep::Repeat
             && !repeatTake(m_repeats[session.service->name], now, m_fabric.memberCount(), m_options.repeats)) {
@@ -421,12 +466,13 @@
             base::counterAdd("repeats_without_budget_total");
         }
         if (next != NextStep::Repeat)
-            return finish(session, next, last);
+            return finish(session, next, last, m_options.retryAfter);
         tried.insert(id);
     }
 }
 
-void Gateway::finish(Session& session, NextStep step, const AttemptResult& last)
+void Gateway::finish(
+    Session& session, NextStep step, const AttemptResult& last, std::optional<base::Millis> retryAfter)
 {
     if (session.isGone) {
         note(session, 0, "caller_gone", last.why);
@@ -446,7 +492,7 @@
         note(session, last.response.status, "replica_failed", last.why);
         return;
     case NextStep::Refuse:
-        return refuse(session, 503, last.why, m_options.retryAfter);
+        return refuse(session, 503, last.why, retryAfter);
     case NextStep::Repeat:
     case NextStep::Fail:
         return refuse(session, isOver ? 504 : 502, last.why, std::nullopt);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/RepeatBudget.h"
 #include "gateway/ReplicaChoice.h"
 #include "gateway/Session.h"
+#include "gateway/Waiting.h"
 #include "net/Http.h"
 
 namespace rattanshunt::gateway {
@@ -30,10 +31,11 @@
     base::Millis revokeLimit { 4800 };   // age of configuration up to which keys are trusted
     base::Millis denyLimit { 1800 };     // age up to which an unknown route or key is refused for good
     base::Millis retryAfter { 300 };     // when a refused caller may come back, if nothing better is known
-    base::Millis serveLeast { 150 };     // time that a request needs at a replica at least
+    base::Millis drainWait { 1000 };     // that a request may wait for a replica while the process stops
+    base::Seconds rateTime { 10 };       // over which arrivals are smoothed
+    WaitOptions waiting;
     base::Millis sweepInterval { 1000 }; // between two looks for idle connections
     base::Millis troubleHalfLife { 2500 }; // of a replica's failures
-    size_t waitingMost = 400;            // requests that wait for a replica
     RepeatBudgetOptions repeats;
     ReplicaChoiceOptions engineChoice;
     ReplicaChoiceOptions plainChoice;
@@ -48,13 +50,15 @@
 
     // -- commands --
     bool listen(const base::Address&, std::string& error);
-    void beginDrain();    // answers end their connections from now on
+    // Answers end their connections from now on. A request that has waited long for a replica is refused, so that it can
+    // be served elsewhere.
+    void beginDrain();
     void stopAccepting(); // closes idle connections too
     void closeAll();
     void reconfigure(const GatewayOptions&); // for what begins from now on
-    fabric::DemandTable takeDemand(); // arrivals since the last call; waiting now
 
     // -- queries --
+    fabric::DemandTable demand(); // of this daemon, now
     size_t underWay() const { return m_sessions.size(); }
     bool isDraining() const { return m_isDraining; }
     bool mayServe(base::BootTime now) const; // knows a configuration that is fresh enough for keys
@@ -71,21 +75,27 @@
         base::BootTime troubleAt {};
     };
 
+    struct Refusal {
+        const char* why = "";
+        std::optional<base::Millis> retryAfter;
+    };
+
     void serve(net::HttpExchange&);
     bool admit(Session&);
     bool findRoute(Session&);
     bool findAccount(Session&);
     void runAttempts(Session&);
-    const directory::Replica* awaitReplica(Session&, const std::set<std::string>& tried, const char*& why);
+    const directory::Replica* awaitReplica(Session&, const std::set<std::string>& tried, Refusal&);
     const directory::Replica* chooseReplica(Session&, const std::set<std::string>& tried, bool& isHeldSomewhere);
-    bool mayComeInTime(const Session&, base::BootTime now) const;
+    std::optional<base::BootTime> readyEstimate(const Session&) const;
     AttemptResult attempt(Session&, const directory::Replica&);
-    void finish(Session&, NextStep, const AttemptResult&);
+    void finish(Session&, NextStep, const AttemptResult&, std::optional<base::Millis> retryAfter);
     void refuse(Session&, int status, const char* why, std::optional<base::Millis> retryAfter);
     void note(const Session&, int status, const char* outcome, const char* why);
     ReplicaUse& useOf(const directory::Replica&);
     double troubleOf(ReplicaUse&, base::BootTime now) const;
     void wakeWaiting();
+    void decayRates(base::BootTime now);
 
     net::Loop& m_loop;
     GatewayOptions m_options;
@@ -97,7 +107,8 @@
     std::set<Session*> m_waiting;
     std::map<std::string, ReplicaUse> m_uses;        // by replica
     std::map<std::string, RepeatBudget> m_repeats;   // by service
-    std::map<fabric::DemandKey, double> m_arrivals;  // since the last report
+    std::map<fabric::DemandKey, double> m_rates;     // arrivals a second, as of m_ratesAt
+    base::BootTime m_ratesAt {};
     bool m_isDraining = false;
 };
 
--- a/src/gateway/RequestPlan.cpp
+++ b/src/gateway/RequestPlan.cpp
@@ -7,7 +7,7 @@
     return progress.attemptsRun == 0 && !progress.hasPassedHead;
 }
 
-static NextStep giveUp(const RequestProgress& progress)
+NextStep stepWithoutReplica(const RequestProgress& progress)
 {
     if (progress.hasPassedHead)
         return NextStep::Cut;
@@ -22,13 +22,13 @@
         return NextStep::Deliver;
     case AttemptEnd::NotRun:
         return mayRepeat && progress.attemptsSent < progress.maxAttempts + refusalsMost ? NextStep::Repeat
-                                                                                         : giveUp(progress);
+                                                                                         : stepWithoutReplica(progress);
     case AttemptEnd::RanFailed:
         if (progress.hasPassedHead)
             return NextStep::Cut;
         return progress.repeat == RepeatKind::Safe && mayRepeat ? NextStep::Repeat : NextStep::PassFailure;
     case AttemptEnd::Unknown:
-        return progress.repeat != RepeatKind::Once && mayRepeat ? NextStep::Repeat : giveUp(progress);
+        return progress.repeat != RepeatKind::Once && mayRepeat ? NextStep::Repeat : stepWithoutReplica(progress);
     }
     return NextStep::Fail;
 }
--- a/src/gateway/RequestPlan.h
+++ b/src/gateway/RequestPlan.h
@@ -2,7 +2,7 @@
 //
 // Contents
 //   [1] Data            AttemptEnd, RequestProgress, NextStep
-//   [2] Decisions       stepAfterAttempt(), refusalIsTrue()
+//   [2] Decisions       stepAfterAttempt(), stepWithoutReplica(), refusalIsTrue()
 //
 // The table, by kind of repeat and by how the attempt ended:
 //
@@ -65,6 +65,9 @@
 
 NextStep stepAfterAttempt(const RequestProgress&, AttemptEnd, RepeatMeans);
 
+// When no replica will take the request any more.
+NextStep stepWithoutReplica(const RequestProgress&);
+
 // True while "has not run and will not run" may be said of the request.
 bool refusalIsTrue(const RequestProgress&);
 
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -22,20 +22,21 @@
 struct Session {
     net::HttpExchange& exchange;
     RequestHead head;
-    ConfigurationPointer configuration;
+    ConfigurationPointer configuration {};
     const Route* route = nullptr;     // of `configuration`
     const Service* service = nullptr; //
-    std::string account;              // name; empty on public routes
+    std::string account {};           // name; empty on public routes
     int urgency = 5;
     double tokens = 1;                // cost to the account
     double weight = 1;                // of its wait, beside others
     base::BootTime arrivedAt {};
     base::BootTime deadline {};       // the caller's or the route's, whichever is earlier
-    RequestProgress progress;
-    EventSplitter events;
+    base::BootTime patienceEnd {};    // by when the first byte must come, or the caller leaves
+    RequestProgress progress {};
+    EventSplitter events {};
     bool isGone = false;              // the caller has left
     net::HttpConnection* connection = nullptr; // to the replica, while an attempt runs
-    net::Event wake;                  // something that the request waits for may have changed
+    net::Event wake {};               // something that the request waits for may have changed
 };
 
 struct AttemptResult {
--- /dev/null
+++ b/src/gateway/Waiting.h
@@ -0,0 +1,55 @@
+// Whether a request that no replica can take now may wait, or is refused at once.
+//
+// Contents
+//   [1] Data            WaitView, WaitOptions, WaitDecision
+//   [2] Decision        waitDecide()
+//
+// Load pattern: demand moves to models that nobody holds, or replicas are full, and more requests come than can be
+// served. A request waits only while it can still be answered before its caller leaves. One that can't is refused at
+// once with the time at which it could be served, so that the caller may come back then or go elsewhere.
+//
+// Pure; safe from any thread.
+#pragma once
+
+#include <optional>
+
+#include "base/Time.h"
+
+namespace rattanshunt::gateway {
+
+// ---- [1] Data ----------------------------------------------------------------------------------
+
+struct WaitView {
+    base::Duration waited { 0 };       // so far
+    base::Duration timeLeft { 0 };     // until the deadline
+    base::Duration patienceLeft { 0 }; // until the caller leaves without a first byte
+    size_t waitingHere = 0;            // requests that wait at this daemon
+    bool isHeld = false;               // some usable replica holds the model, but all are full or tried
+    bool isEngine = false;             // a service whose replicas hold models
+    bool isAdapter = false;            // an adapter of a model is asked for
+    bool hasTriedOthers = false;       // at least one replica was tried
+    bool hasHub = false;               // somebody can order the model
+    std::optional<base::Duration> readyIn; // estimate until some replica holds the model
+};
+
+struct WaitOptions {
+    base::Millis serveLeast { 150 };     // time that a request needs at a replica at least
+    base::Millis unknownMost { 700 };    // without word from the hub on when the model will be ready
+    base::Millis retryLeast { 200 };     // shortest time after which a refused caller may come back
+    base::Millis lookAgain { 150 };      // between two looks while waiting
+    base::Millis estimateSlack { 300 };  // by which estimates may be late
+    size_t waitingMost = 400;            // requests that wait at one daemon
+};
+
+struct WaitDecision {
+    bool mayWait = false;
+    const char* why = "";                   // of a refusal
+    std::optional<base::Millis> retryAfter; // of a refusal
+    base::Millis lookAgain { 0 };
+};
+
+// ---- [2] Decision ------------------------------------------------------------------------------
+
+WaitDecision waitDecide(const WaitView&, const WaitOptions&);
+
+} // namespace rattanshunt::gateway
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -1,6 +1,7 @@
 #include "models/Placer.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/Counters.h"
 #include "base/Log.h"
@@ -85,7 +86,8 @@
     m_hubSince = BootClock::now();
     m_follows.clear();
     m_storeLoads.clear();
-    // The former hub may have used the whole window; its loads are counted as begun now.
+    m_storeLoadsRunning = 0;
+    m_storeSpeed.atOnce = m_options.storeLoadsAtOnce;
     base::logEvent(LogLevel::Info, "placement.taken_over", { { "fencing_token", m_token } });
 }
 
@@ -109,10 +111,12 @@
     fabric::DemandTable demand = m_fabric.collectDemand(now);
     if (!m_fabric.mayOrder(now))
         return;
+    std::map<fabric::ModelKey, BootTime> outlook;
     for (const auto& [name, service] : configuration->services) {
         if (service.engine)
-            planService(service, demand, now);
+            planService(service, demand, now, outlook);
     }
+    m_fabric.setOutlook(std::move(outlook));
 }
 
 // ---- Reports -----------------------------------------------------------------------------------
@@ -177,16 +181,21 @@
         return false;
     directory::directoryApplyReport(m_fabric.directory(), id, *report, askedAt);
     follow->report = *report;
-    // A report lags; one from before an order that was accepted says nothing of what is held now.
-    if (report->ordersTaken >= follow->ordersTaken) {
-        bool isChanged = !follow->hasReport || (!follow->isEngaged && !(follow->held == report->models));
+    if (report->ordersTaken > follow->ordersTaken) {
+        // Orders that nobody answered for were carried out.
         follow->ordersTaken = report->ordersTaken;
-        follow->hasReport = true;
-        if (!follow->isEngaged)
-            follow->held = report->models;
-        if (isChanged)
-            publish(id);
+        follow->isSettled = false;
     }
+    // A report lags: one from before the last order, or from the middle of one, does not say what is held now.
+    bool isSettled = report->ordersTaken == follow->ordersTaken && !report->isBusy && !follow->isOrdering
+        && askedAt >= follow->orderedAt;
+    if (!isSettled)
+        return true;
+    bool isChanged = !follow->isSettled || !(follow->held == report->models);
+    follow->isSettled = true;
+    follow->held = report->models;
+    if (isChanged && !follow->isEngaged)
+        publish(id);
     return true;
 }
 
@@ -209,20 +218,23 @@
     double most = engine.storeLoadsPerSecond * base::secondsOf(m_options.ceilingWindow);
     // After a takeover the window fills up with time.
     most = std::min(most, engine.storeLoadsPerSecond * base::secondsOf(now - m_hubSince) + 1);
-    return most - static_cast<double>(m_storeLoads.size());
+    return std::min(most - static_cast<double>(m_storeLoads.size()),
+        std::max(1.0, std::floor(m_storeSpeed.atOnce)) - static_cast<double>(m_storeLoadsRunning));
 }
 
-void Placer::planService(const gateway::Service& service, const fabric::DemandTable& demand, BootTime now)
+void Placer::planService(const gateway::Service& service, const fabric::DemandTable& demand, BootTime now,
+    std::map<fabric::ModelKey, BootTime>& outlook)
 {
     PlanInput input;
     input.engine = &*service.engine;
     input.service = service.name;
     input.demand = demand;
     input.storeLoadsLeft = storeLoadsLeft(*service.engine, now);
+    input.mayUnload = now - m_hubSince >= m_options.settleTime;
     for (const auto& [id, replica] : m_fabric.directory().replicas) {
         auto follow = m_follows.find(id);
         if (replica.entry.service != service.name || !directory::replicaIsUsable(replica) || follow == m_follows.end()
-            || !follow->second->hasReport)
+            || !follow->second->isSettled)
             continue;
         const Follow& known = *follow->second;
         PlanReplica view;
@@ -236,10 +248,23 @@
         view.onDisk = { known.report.onDisk.begin(), known.report.onDisk.end() };
         input.replicas.push_back(std::move(view));
     }
-    for (PlanJob& job : planJobs(input, m_options.plan)) {
+    Plan plan = planJobs(input, m_options.plan);
+    double atOnce = std::max(1.0, m_storeSpeed.atOnce);
+    for (size_t i = 0; i < plan.missing.size(); ++i) {
+        base::Duration load = service.engine->models.at(plan.missing[i]).storeLoad;
+        // Half of a load until a place is free, and then one load for each round before.
+        double rounds = 1.5 + std::floor(static_cast<double>(i) / atOnce);
+        outlook[{ service.name, plan.missing[i] }] = now + base::durationOf(rounds * base::secondsOf(load));
+    }
+    for (PlanJob& job : plan.jobs) {
         m_follows[job.replica]->isEngaged = true;
-        if (job.fromStore)
+        if (job.fromStore) {
             m_storeLoads.push_back(now);
+            ++m_storeLoadsRunning;
+            // While more run than the store serves at full speed, each takes longer in proportion.
+            double crowd = std::max(1.0, static_cast<double>(m_storeLoadsRunning) / atOnce);
+            job.estimate = std::chrono::duration_cast<base::Millis>(job.estimate * crowd);
+        }
         m_loop.spawn([this, job = std::move(job)]() mutable { runJob(std::move(job)); });
     }
 }
@@ -262,7 +287,17 @@
     for (const HeldModel& model : job.unloadAdapters)
         removeHeld(follow->held, model.name, model.adapters.front());
     publish(job.replica);
+    int64_t token = m_token;
+    BootTime begunAt = BootClock::now();
+    double crowd = static_cast<double>(m_storeLoadsRunning);
     bool isDone = runSteps(job, *follow);
+    if (job.fromStore && token == m_token) {
+        double crowdAfter = static_cast<double>(m_storeLoadsRunning--);
+        const gateway::Engine* engine = engineOf(job.replica);
+        if (isDone && engine && engine->models.contains(job.model))
+            storeSpeedNote(m_storeSpeed, (crowd + crowdAfter) / 2,
+                base::secondsOf(BootClock::now() - begunAt) / base::secondsOf(engine->models.at(job.model).storeLoad));
+    }
     follow->coming.clear();
     replica = m_fabric.directory().replicas.find(job.replica);
     if (replica != m_fabric.directory().replicas.end())
@@ -273,7 +308,7 @@
     if (isDone)
         addHeld(follow->held, job.model, job.adapter);
     else
-        follow->hasReport = false; // until the next report, nothing is known for sure
+        follow->isSettled = false; // until the next report, nothing is known for sure
     follow->isEngaged = false;
     if (isDone)
         publish(job.replica);
@@ -284,10 +319,12 @@
     for (const HeldModel& gone : job.unloadAdapters) {
         if (!orderAndFollow(job, follow, { false, gone.name, gone.adapters.front(), 0, "", 0 }))
             return false;
+        removeHeld(follow.held, gone.name, gone.adapters.front());
     }
     for (const std::string& gone : job.unloadModels) {
         if (!orderAndFollow(job, follow, { false, gone, "", 0, "", 0 }))
             return false;
+        removeHeld(follow.held, gone, "");
     }
     return orderAndFollow(job, follow, { true, job.model, job.adapter, 0, "", 0 });
 }
@@ -298,6 +335,8 @@
     auto follow = m_follows.find(id);
     if (!engine || follow == m_follows.end() || !engine->models.contains(order.model))
         return false;
+    if (!follow->second->isSettled)
+        return false;
     double used = 0;
     size_t places = follow->second->report.comingAdapters.size();
     for (const HeldModel& held : follow->second->held) {
@@ -331,7 +370,10 @@
     if (!m_fabric.mayOrder(BootClock::now()) || m_token != m_fabric.fencingToken())
         return OrderAnswer::Superseded;
     base::counterAdd("model_orders_total");
+    follow->isOrdering = true;
     net::HttpResult result = net::httpCall(*connection, m_dialect.writeOrder(order, id), deadline);
+    follow->isOrdering = false;
+    follow->orderedAt = BootClock::now();
     if (result.error != net::HttpCallError::None)
         return OrderAnswer::Unknown;
     if (!follow->connection)
@@ -367,7 +409,7 @@
         if (answer == OrderAnswer::Refused)
             return false;
         if (answer == OrderAnswer::Accepted || (answer == OrderAnswer::Holds && !order.adapter.empty()))
-            follow.ordersTaken = order.expectedOrders + 1;
+            follow.ordersTaken = std::max(follow.ordersTaken, order.expectedOrders + 1);
         if (!order.adapter.empty() && (answer == OrderAnswer::Accepted || answer == OrderAnswer::Holds)) {
             if (order.isLoad)
                 net::sleepFor(m_options.adapterTime);
@@ -392,7 +434,6 @@
         }
         if (BootClock::now() >= giveUpAt)
             break;
-        follow.ordersTaken = follow.report.ordersTaken;
     }
     base::logEvent(LogLevel::Warning, "placement.given_up",
         { { "replica", job.replica }, { "model", planned.model }, { "adapter", planned.adapter } });
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -16,6 +16,7 @@
 
 #include "fabric/Fabric.h"
 #include "models/Planner.h"
+#include "models/StoreSpeed.h"
 #include "net/Http.h"
 
 namespace rattanshunt::models {
@@ -29,6 +30,8 @@
     base::Seconds followTime { 20 };      // after which a job is given up
     base::Seconds ceilingWindow { 5 };    // of the weight store's limit on loads
     base::Millis adapterTime { 20 };      // until an accepted adapter can be used
+    base::Millis settleTime { 1800 };     // after a takeover, until the members' rates are known
+    double storeLoadsAtOnce = 4;          // of the weight store at full speed, until it is measured
     PlanOptions plan;
 };
 
@@ -45,7 +48,9 @@
     struct Follow {
         int64_t bornMillis = 0;
         bool isEngaged = false;
-        bool hasReport = false;            // since this daemon became hub
+        bool isSettled = false;            // `held` is what the replica holds after `ordersTaken` orders
+        bool isOrdering = false;           // an order is on its way
+        base::BootTime orderedAt {};       // when the last order was answered, or given up
         bool isAsking = false;             // a report is under way
         int64_t ordersTaken = 0;           // at least; by reports and accepted orders
         base::BootTime askedAt {};         // for the last report
@@ -59,7 +64,8 @@
     void beginHub();
     void askReports(base::BootTime now);
     bool askReport(const std::string& id);
-    void planService(const gateway::Service&, const fabric::DemandTable&, base::BootTime now);
+    void planService(const gateway::Service&, const fabric::DemandTable&, base::BootTime now,
+        std::map<fabric::ModelKey, base::BootTime>& outlook);
     void runJob(PlanJob);
     bool runSteps(const PlanJob&, Follow&);
     bool orderAndFollow(const PlanJob&, Follow&, const gateway::ModelOrder&);
@@ -79,6 +85,8 @@
     std::map<std::string, std::shared_ptr<Follow>> m_follows; // by replica
     std::deque<base::BootTime> m_storeLoads;   // begun in the last window
     base::BootTime m_hubSince {};
+    size_t m_storeLoadsRunning = 0;
+    StoreSpeed m_storeSpeed;
 };
 
 } // namespace rattanshunt::models
--- a/src/models/Planner.cpp
+++ b/src/models/Planner.cpp
@@ -84,6 +84,10 @@
         const gateway::Engine& engine = *planning.input.engine;
         double freeMb = engine.weightsMb - usedMb(engine, replica);
         Room room;
+        if (freeMb >= spec.weightsMb)
+            return room;
+        if (!planning.input.mayUnload)
+            return std::nullopt;
         std::vector<std::pair<double, const HeldModel*>> candidates;
         for (const HeldModel& held : replica.held) {
             auto demand = planning.demand.find(held.name);
@@ -144,6 +148,41 @@
         return true;
     }
 
+    // Fills free room of one replica with the model that is asked for most for each copy. True if a job was added.
+    bool fillRoom(Planning& planning, const PlanReplica& replica)
+    {
+        const gateway::Engine& engine = *planning.input.engine;
+        double freeMb = engine.weightsMb - usedMb(engine, replica);
+        const ModelSpec* best = nullptr;
+        double bestGain = 0;
+        for (const auto& [name, spec] : engine.models) {
+            if (spec.weightsMb > freeMb || heldModel(replica, name) || replica.coming.contains(name))
+                continue;
+            auto demand = planning.demand.find(name);
+            double rate = demand == planning.demand.end() ? 0 : demand->second.rate;
+            auto found = planning.copies.find(name);
+            int copies = found == planning.copies.end() ? 0 : found->second;
+            bool isAtHand = !loadTier(replica, spec).isStore;
+            if (!isAtHand && (copies > 0 || rate < planning.options.keepRate || planning.storeLoadsLeft < 2))
+                continue;
+            if (copies > 0 && rate / copies < planning.options.spareCopyRate)
+                continue;
+            double gain = copies == 0 ? (rate + planning.options.keepRate) * planning.options.lastCopyWeight : rate / copies;
+            if (gain > bestGain) {
+                bestGain = gain;
+                best = &spec;
+            }
+        }
+        if (!best)
+            return false;
+        Tier tier = loadTier(replica, *best);
+        planning.engaged.insert(replica.id);
+        planning.storeLoadsLeft -= tier.isStore ? 1 : 0;
+        ++planning.copies[best->name];
+        planning.jobs.push_back({ replica.id, {}, {}, best->name, "", tier.isStore, tier.time });
+        return true;
+    }
+
     // Load of the least busy holder; nothing if there is none.
     std::optional<double> leastLoad(const Planning& planning, const std::string& model, const std::string& adapter)
     {
@@ -164,7 +203,7 @@
     double adapterRate(const Planning& planning, const std::string& model, const std::string& adapter)
     {
         auto found = planning.input.demand.find({ planning.input.service, model, adapter });
-        return found == planning.input.demand.end() ? 0 : found->second.arrivals + 100 * found->second.waiting;
+        return found == planning.input.demand.end() ? 0 : found->second.rate + 100 * found->second.waiting;
     }
 
     // Brings an adapter to the replica that holds its model and gives up least for it.
@@ -223,7 +262,7 @@
 
 } // namespace
 
-std::vector<PlanJob> planJobs(const PlanInput& input, const PlanOptions& options)
+Plan planJobs(const PlanInput& input, const PlanOptions& options)
 {
     Planning planning { input, options, {}, {}, {}, input.storeLoadsLeft, {} };
     for (const auto& [key, row] : input.demand) {
@@ -232,7 +271,7 @@
         ModelDemand& demand = planning.demand[key.model];
         demand.waiting += row.waiting;
         demand.worth += row.worth;
-        demand.rate += row.arrivals;
+        demand.rate += row.rate;
     }
     for (const PlanReplica& replica : input.replicas) {
         for (const HeldModel& held : replica.held)
@@ -246,10 +285,12 @@
     std::sort(order.begin(), order.end(),
         [](auto& a, auto& b) { return a.first != b.first ? a.first > b.first : a.second->name < b.second->name; });
 
+    std::vector<std::string> missing;
     // Models that are waited for and that nobody holds, by the worth that waits.
     for (auto& [worth, spec] : order) {
-        if (planning.demand[spec->name].waiting > 0 && planning.copies[spec->name] == 0)
-            placeModel(planning, *spec, std::numeric_limits<double>::max());
+        if (planning.demand[spec->name].waiting > 0 && planning.copies[spec->name] == 0
+            && !placeModel(planning, *spec, std::numeric_limits<double>::max()))
+            missing.push_back(spec->name);
     }
     // Adapters of models that are held.
     for (const auto& [key, row] : input.demand) {
@@ -273,7 +314,11 @@
         double gain = planning.demand[spec->name].rate / planning.copies[spec->name];
         placeModel(planning, *spec, gain / options.replaceRatio);
     }
-    return planning.jobs;
+    for (const PlanReplica& replica : input.replicas) {
+        if (!replica.isEngaged && !planning.engaged.contains(replica.id))
+            fillRoom(planning, replica);
+    }
+    return { std::move(planning.jobs), std::move(missing) };
 }
 
 } // namespace rattanshunt::models
--- a/src/models/Planner.h
+++ b/src/models/Planner.h
@@ -8,6 +8,7 @@
 // then, evenly, and do not all fit. When demand moves or replicas crash, many are missing at once. A model that is
 // waited for goes to the replica where it is ready soonest (host memory, disk, then the weight store) and where what
 // makes way is asked for least. Jobs go in the order of the worth that waits, since loads from the weight store are few.
+// Room that a crash or a new replica left is filled before it is asked for, from what is at hand first.
 //
 // Pure; safe from any thread.
 #pragma once
@@ -39,6 +40,7 @@
     std::vector<PlanReplica> replicas; // usable ones, with a report of their own
     fabric::DemandTable demand;        // of all services
     double storeLoadsLeft = 0;         // loads from the weight store that may begin now
+    bool mayUnload = true;             // demand is known well enough to take models away
 };
 
 struct PlanJob {
@@ -57,11 +59,16 @@
     double lastCopyWeight = 4;   // how much dearer the only copy of a model is to unload than one of several
     double keepRate = 0.02;      // arrivals a second that a held model counts for at least
     double replaceRatio = 2;     // how much more a further copy must be asked for than what makes way
+    double spareCopyRate = 0.3;  // requests a second for each copy that fill free room with one more
+};
+
+struct Plan {
+    std::vector<PlanJob> jobs;        // at most one for each replica that is not engaged
+    std::vector<std::string> missing; // models that are waited for and have no job, the most urgent first
 };
 
 // ---- [2] Decision ------------------------------------------------------------------------------
 
-// At most one job for each replica that is not engaged.
-std::vector<PlanJob> planJobs(const PlanInput&, const PlanOptions&);
+Plan planJobs(const PlanInput&, const PlanOptions&);
 
 } // namespace rattanshunt::models
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -32,6 +32,7 @@
 // ---- [1] Hub -----------------------------------------------------------------------------------
 
 struct GrantBook {
+    double startPart = 1; // of the burst, that an account starts with; less after a takeover, as grants are out
     struct Level {
         double tokens = 0;
         base::BootTime asOf {};
@@ -39,13 +40,16 @@
     std::map<std::string, Level> levels;
 };
 
-// Grants `tokens` if the account's level covers them. `isFirst` hubs start accounts full, successors half full: the
-// former hub's grants may still be spent.
+// Part of the burst that accounts start with at a hub that follows another one: the former hub's grants and what daemons
+// let through without a hub count in the same window.
+constexpr double successorStartPart = 0.25;
+
+// Grants `tokens` if the account's level covers them.
 inline bool bookTake(
     GrantBook& book, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
 {
     double capacity = limit.burst + limit.slack * hubSlackPart;
-    auto [found, isNew] = book.levels.try_emplace(account, GrantBook::Level { capacity / 2 + limit.burst / 2, now });
+    auto [found, isNew] = book.levels.try_emplace(account, GrantBook::Level { limit.burst * book.startPart, now });
     GrantBook::Level& level = found->second;
     double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - level.asOf));
     level.tokens = std::min(capacity, level.tokens + gone * limit.rate);
@@ -84,13 +88,14 @@
     return true;
 }
 
-// Spends of the allowance without a hub: a member's share of the rate. A request is let through while the level is
-// above zero, so that one larger than a share is not refused for ever.
+// Spends of the allowance without a hub: a member's share of the rate. A request that is larger than the level is let
+// through as often as the level covers it on average, so that large ones are not refused for ever and the fleet's sum
+// still holds. `luck` is drawn from 0 to 1.
 inline bool grantSpendAlone(LocalGrants& grants, const std::string& account, const AccountLimit& limit, double tokens,
-    size_t members, base::BootTime now)
+    size_t members, double luck, base::BootTime now)
 {
     double count = static_cast<double>(std::max<size_t>(1, members));
-    double capacity = (limit.burst + limit.slack * aloneSlackPart) / count;
+    double capacity = std::max(limit.slack, limit.burst) * aloneSlackPart / count;
     auto [found, isNew] = grants.shares.try_emplace(account);
     LocalGrants::Share& share = found->second;
     if (share.aloneAt == base::BootTime {})
@@ -98,9 +103,9 @@
     double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - share.aloneAt));
     share.alone = std::min(capacity, share.alone + gone * limit.rate / count);
     share.aloneAt = std::max(share.aloneAt, now);
-    if (share.alone <= 0)
+    if (share.alone <= luck * tokens)
         return false;
-    share.alone -= tokens;
+    share.alone = std::max(0.0, share.alone - tokens);
     return true;
 }
 
