Let calm accounts through while a hub is missing, and tell its successor

Change: the hub tells which accounts keep far below their limit. These pass for 2.5 s after its last word and what they used is charged to the next hub's book, which starts the others low.

--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -318,6 +318,9 @@
     m_members.clear();
     m_grantBook = {};
     m_grantBook.startPart = quota::successorStartPart;
+    m_grantBook.calmStartPart = quota::successorCalmPart;
+    if (BootClock::now() - m_grants.hubWordAt < memberSilence)
+        m_grantBook.wasCalm = m_grants.calm;
     m_ordersFrom = BootTime::max();
     base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
     m_loop.spawn([this] { renewLoop(); });
@@ -348,6 +351,8 @@
     }
     if (isFirst)
         m_grantBook.startPart = 1;
+    for (auto& [account, share] : m_grants.shares)
+        chargeSpent(account, std::exchange(share.spentCalm, 0));
     m_ordersFrom = isFirst || wasSelf ? now : now + m_options.orderGap;
 }
 
@@ -399,7 +404,7 @@
         auto account = m_configuration->accounts.find(body.value("account", ""));
         if (account == m_configuration->accounts.end())
             return Json { { "hub", true }, { "tokens", 0.0 } };
-        quota::AccountLimit limit { account->second.rate, account->second.burst, m_options.quotaSlack };
+        quota::AccountLimit limit = limitOf(account->second);
         double need = body.value("need", 0.0);
         double tokens = 0;
         for (double wanted : { need * grantAhead, need }) {
@@ -445,6 +450,9 @@
         Json unused = body.value("unused", Json::object());
         for (auto& [account, tokens] : unused.items())
             quota::bookGiveBack(m_grantBook, account, tokens.get<double>());
+        Json spent = body.value("spent", Json::object());
+        for (auto& [account, tokens] : spent.items())
+            chargeSpent(account, tokens.get<double>());
         std::erase_if(m_members, [&](auto& item) { return now - item.second.lastSeen > memberSilence; });
         m_memberCount = m_members.size() + 1;
     }
@@ -463,6 +471,14 @@
         reply["configuration"] = m_configurationRevision;
         reply["configuration_value"] = Json::binary({ m_configurationValue.begin(), m_configurationValue.end() });
     }
+    if (m_isHub && m_configuration) {
+        Json calm = Json::object();
+        for (const auto& [name, account] : m_configuration->accounts) {
+            if (account.rate > 0)
+                calm[name] = quota::bookIsCalm(m_grantBook, name, limitOf(account), now);
+        }
+        reply["calm"] = std::move(calm);
+    }
     if (m_hub && !m_isHub)
         reply["hub_address"] = base::formatAddress(m_hub->address);
     bool isSame = asked.value("start", "") == m_start;
@@ -568,6 +584,13 @@
         }
         if (!unused.empty())
             body["unused"] = std::move(unused);
+        Json spent = Json::object();
+        for (auto& [account, share] : m_grants.shares) {
+            if (share.spentCalm > 0)
+                spent[account] = std::exchange(share.spentCalm, 0);
+        }
+        if (!spent.empty())
+            body["spent"] = std::move(spent);
     }
     net::PeerResult result = m_peers->call(address, "sync", body, base::Clock::now() + m_options.syncTime);
     if (result.error != net::PeerError::None || !result.body.is_object())
@@ -651,6 +674,10 @@
         m_hubStart = body.at("start").get<std::string>();
         m_hubStamp = body.at("stamp").get<uint64_t>();
         m_memberCount = body.at("members").get<size_t>();
+        m_grants.calm.clear();
+        for (auto& [account, isCalm] : body.at("calm").items())
+            m_grants.calm[account] = isCalm.get<bool>();
+        m_grants.hubWordAt = askedAt;
         if (body.contains("addresses")) {
             m_memberAddresses.clear();
             for (auto& [name, address] : body.at("addresses").items()) {
@@ -686,7 +713,7 @@
     if (account.rate <= 0)
         return true;
     BootTime now = BootClock::now();
-    quota::AccountLimit limit { account.rate, account.burst, m_options.quotaSlack };
+    quota::AccountLimit limit = limitOf(account);
     if (m_isHub && now < m_leaseUntil)
         return quota::bookTake(m_grantBook, account.name, limit, tokens, now);
     if (quota::grantSpend(m_grants, account.name, tokens))
@@ -701,10 +728,27 @@
         }
     }
     base::counterAdd("quota_decided_alone_total");
+    if (quota::grantSpendCalm(m_grants, account.name, tokens, BootClock::now()))
+        return true;
     double luck = static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
     return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), luck, BootClock::now());
 }
 
+quota::AccountLimit Fabric::limitOf(const gateway::Account& account) const
+{
+    return { account.rate, account.burst, m_options.quotaSlack };
+}
+
+// Counts what was let through without a hub.
+void Fabric::chargeSpent(const std::string& account, double tokens)
+{
+    if (!m_configuration || tokens <= 0)
+        return;
+    auto found = m_configuration->accounts.find(account);
+    if (found != m_configuration->accounts.end())
+        quota::bookCharge(m_grantBook, account, limitOf(found->second), tokens, BootClock::now());
+}
+
 void Fabric::quotaGiveBack(const std::string& account, double tokens)
 {
     if (m_isHub)
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -161,6 +161,9 @@
     nlohmann::json describe(const nlohmann::json& asked, base::BootTime now);
     void takeDemand(HubMember&, const nlohmann::json& body, base::BootTime now);
 
+    quota::AccountLimit limitOf(const gateway::Account&) const;
+    void chargeSpent(const std::string& account, double tokens);
+
     // -- a member --
     bool syncWith(const base::Address&, bool isHub);
     nlohmann::json syncBody();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -157,6 +157,7 @@
             { "account", session.account }, { "model", session.head.model }, { "adapter", session.head.adapter },
             { "status", status }, { "outcome", outcome }, { "why", why },
             { "took_ms", millisSince(now, session.arrivedAt) }, { "left_ms", millisSince(session.deadline, now) },
+            { "tokens", session.tokens },
             { "attempts", session.progress.attemptsSent }, { "events", session.events.passed },
             { "version", session.configuration ? session.configuration->version : 0 },
             { "knowledge_age_ms", millisSince(now, m_fabric.provenAt()) } });
@@ -219,6 +220,10 @@
         session.urgency = account->priority;
     session.tokens = account->countsTokens ? session.head.tokens.value_or(account->plainTokens) : 1;
     if (!m_fabric.quotaTake(*account, session.tokens)) {
+        base::logEvent(LogLevel::Info, "quota.refused",
+            { { "id", session.head.id }, { "account", account->name }, { "tokens", session.tokens },
+                { "rate", account->rate }, { "burst", account->burst },
+                { "decided_by", m_fabric.hasHub() ? "hub" : "own_share" } });
         base::Millis wait = account->rate > 0
             ? base::Millis(static_cast<int64_t>(1000 * session.tokens / account->rate))
             : m_options.retryAfter;
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -26,13 +26,24 @@
 };
 
 // Part of the slack that the hub grants, and part that daemons may use while they can't reach it.
-constexpr double hubSlackPart = 0.3;
-constexpr double aloneSlackPart = 0.3;
+constexpr double hubSlackPart = 0.5;
+constexpr double aloneSlackPart = 0.2;
+
+// Part of its capacity that an account's level must have for the account to count as calm: it keeps far below its limit.
+constexpr double calmLevelPart = 0.4;
+
+// Time after the hub's last word for which a calm account is let through without it. Even a burst of several times the
+// rate that begins just then stays within the slack of a few seconds.
+constexpr base::Millis calmTime { 2500 };
 
 // ---- [1] Hub -----------------------------------------------------------------------------------
 
 struct GrantBook {
-    double startPart = 1; // of the burst, that an account starts with; less after a takeover, as grants are out
+    // Part of the burst that an account starts with: less after a takeover, as grants are out and daemons have let
+    // requests through without a hub.
+    double startPart = 1;
+    double calmStartPart = 1;             // for accounts that were calm when the former hub was last heard
+    std::map<std::string, bool> wasCalm;  // by account, as far as known
     struct Level {
         double tokens = 0;
         base::BootTime asOf {};
@@ -42,24 +53,51 @@
 
 // Part of the burst that accounts start with at a hub that follows another one: the former hub's grants and what daemons
 // let through without a hub count in the same window.
-constexpr double successorStartPart = 0.25;
+constexpr double successorStartPart = 0.15;
+constexpr double successorCalmPart = 0.8;
 
-// Grants `tokens` if the account's level covers them.
-inline bool bookTake(
-    GrantBook& book, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
+inline double bookCapacity(const AccountLimit& limit)
+{
+    return limit.burst + limit.slack * hubSlackPart;
+}
+
+// The account's level, brought up to `now`.
+inline GrantBook::Level& bookLevel(
+    GrantBook& book, const std::string& account, const AccountLimit& limit, base::BootTime now)
 {
-    double capacity = limit.burst + limit.slack * hubSlackPart;
-    auto [found, isNew] = book.levels.try_emplace(account, GrantBook::Level { limit.burst * book.startPart, now });
+    auto known = book.wasCalm.find(account);
+    double part = known != book.wasCalm.end() && known->second ? book.calmStartPart : book.startPart;
+    auto [found, isNew] = book.levels.try_emplace(account, GrantBook::Level { limit.burst * part, now });
     GrantBook::Level& level = found->second;
     double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - level.asOf));
-    level.tokens = std::min(capacity, level.tokens + gone * limit.rate);
+    level.tokens = std::min(bookCapacity(limit), level.tokens + gone * limit.rate);
     level.asOf = std::max(level.asOf, now);
+    return level;
+}
+
+// Grants `tokens` if the account's level covers them.
+inline bool bookTake(
+    GrantBook& book, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
+{
+    GrantBook::Level& level = bookLevel(book, account, limit, now);
     if (level.tokens < tokens)
         return false;
     level.tokens -= tokens;
     return true;
 }
 
+// Counts tokens that a daemon has let through without the hub; the level may fall below zero.
+inline void bookCharge(
+    GrantBook& book, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
+{
+    bookLevel(book, account, limit, now).tokens -= tokens;
+}
+
+inline bool bookIsCalm(GrantBook& book, const std::string& account, const AccountLimit& limit, base::BootTime now)
+{
+    return bookLevel(book, account, limit, now).tokens >= calmLevelPart * bookCapacity(limit);
+}
+
 inline void bookGiveBack(GrantBook& book, const std::string& account, double tokens)
 {
     auto found = book.levels.find(account);
@@ -73,11 +111,25 @@
     struct Share {
         double granted = 0;       // tokens from the hub, not spent yet
         double alone = 0;         // level of the allowance for when the hub can't be reached
+        double spentCalm = 0;     // let through without the hub, to be told to the next one
         base::BootTime aloneAt {};
     };
     std::map<std::string, Share> shares;
+    std::map<std::string, bool> calm;  // by account, at the hub's last word
+    base::BootTime hubWordAt {};
 };
 
+// Lets a calm account through shortly after the hub was lost. False if it is not known to be calm.
+inline bool grantSpendCalm(LocalGrants& grants, const std::string& account, double tokens, base::BootTime now)
+{
+    auto found = grants.calm.find(account);
+    if (found == grants.calm.end() || !found->second || now - grants.hubWordAt > calmTime)
+        return false;
+    grants.shares[account].spentCalm += tokens;
+    return true;
+}
+
+
 // Spends granted tokens; false if they do not cover the request.
 inline bool grantSpend(LocalGrants& grants, const std::string& account, double tokens)
 {
@@ -98,8 +150,10 @@
     double capacity = std::max(limit.slack, limit.burst) * aloneSlackPart / count;
     auto [found, isNew] = grants.shares.try_emplace(account);
     LocalGrants::Share& share = found->second;
-    if (share.aloneAt == base::BootTime {})
-        share = { share.granted, capacity, now };
+    if (share.aloneAt == base::BootTime {}) {
+        share.alone = capacity;
+        share.aloneAt = now;
+    }
     double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - share.aloneAt));
     share.alone = std::min(capacity, share.alone + gone * limit.rate / count);
     share.aloneAt = std::max(share.aloneAt, now);
