Compare large configurations instead of reading them, pack them between daemons, assume members until told

Change: a transaction without writes proves that a large configuration has not changed; members get it compressed; hubs are chosen by processor and link; members of large fleets ask less often; 100 members are assumed until a hub tells.

--- a/src/base/Text.cpp
+++ b/src/base/Text.cpp
@@ -1,6 +1,7 @@
 #include "base/Text.h"
 
 #include <charconv>
+#include <cstring>
 
 #include <boost/asio/ip/address.hpp>
 #include <fmt/format.h>
@@ -10,11 +11,13 @@
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 #include <xxhash.h>
+#include <zlib.h>
 
 namespace rattanshunt::base {
 
 namespace {
     constexpr size_t maxResourceNameLength = 63;
+    constexpr uint64_t decompressedMost = 64ull * 1024 * 1024; // bytes; more is not from one of our daemons
 
     const unsigned char* bytesOf(std::string_view text)
     {
@@ -86,6 +89,35 @@
     return bytes;
 }
 
+std::string compress(std::string_view bytes)
+{
+    uLongf size = compressBound(bytes.size());
+    std::string packed(sizeof(uint64_t) + size, '\0');
+    uint64_t length = bytes.size();
+    std::memcpy(packed.data(), &length, sizeof(length));
+    compress2(reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size, bytesOf(bytes), bytes.size(),
+        Z_BEST_SPEED);
+    packed.resize(sizeof(length) + size);
+    return packed;
+}
+
+std::optional<std::string> decompress(std::string_view bytes)
+{
+    uint64_t length = 0;
+    if (bytes.size() < sizeof(length))
+        return std::nullopt;
+    std::memcpy(&length, bytes.data(), sizeof(length));
+    if (length > decompressedMost)
+        return std::nullopt;
+    std::string text(length, '\0');
+    uLongf size = length;
+    int status = uncompress(reinterpret_cast<Bytef*>(text.data()), &size, bytesOf(bytes.substr(sizeof(length))),
+        bytes.size() - sizeof(length));
+    if (status != Z_OK || size != length)
+        return std::nullopt;
+    return text;
+}
+
 bool isValidUtf8(std::string_view text)
 {
     const unsigned char* bytes = bytesOf(text);
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -32,6 +32,9 @@
     constexpr base::Millis revokeMargin { 200 };   // before the limit on the age of configuration
     constexpr double denyPart = 0.9;               // of the time for changes, up to which unknown routes are refused
 
+    constexpr double strongCpuShare = 0.5;  // of a core, from which on a daemon makes a good hub
+    constexpr double strongLinkMbps = 200;  // of its link
+
     std::string readFile(const std::string& path)
     {
         std::ifstream file(path);
@@ -57,7 +60,9 @@
         options.name = settings.name;
         options.dataCenter = settings.dataCenter;
         options.peerAddress = settings.peerListen;
-        options.strength = settings.cpuShare;
+        options.strength = std::min({ 1.0, settings.cpuShare / strongCpuShare, settings.linkMbps / strongLinkMbps });
+        base::Millis bound = std::min(settings.configurationTime, settings.leaveTime);
+        options.syncIntervalMost = std::max(options.syncInterval, bound * 3 / 10);
         options.orderGap = settings.orderGap;
         options.quotaSlack = settings.quotaSlack;
         return options;
--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -26,6 +26,7 @@
     constexpr base::Millis memberSilence { 3000 };   // after which the hub no longer counts a member
     constexpr base::Millis leaseMargin { 300 };      // before the lease's end, from which on nothing is ordered
     constexpr base::Millis outageLeast { 300 };      // failures of the store shorter than this let nothing lapse
+    constexpr size_t configurationLarge = 48 * 1024; // bytes from which on a known configuration is not read again
     constexpr base::Millis grantWait { 150 };        // for the hub to grant usage
     constexpr base::Millis ratesInterval { 1500 };   // between two reports of rates, which change slowly
     constexpr double grantAhead = 2;                 // requests of this size that one grant covers
@@ -101,7 +102,10 @@
 
 size_t Fabric::memberCount() const
 {
-    return std::max<size_t>(1, m_memberCount);
+    size_t known = m_memberCount ? m_memberCount : m_options.membersAssumed;
+    // A new hub has not heard of all members yet.
+    bool isNewHub = m_isHub && BootClock::now() - m_hubSince < memberSilence;
+    return isNewHub ? std::max(known, m_members.size() + 1) : known;
 }
 
 bool Fabric::mayOrder(BootTime now) const
@@ -139,7 +143,7 @@
                 { { "hub", m_hub ? m_hub->name : "" }, { "knowledge_age_ms", ageMillis(BootClock::now(), m_provenAt) } });
         m_hubAnswers = isSynced;
         if (isSynced && BootClock::now() - m_provenAt < m_options.staleAge) {
-            pause(m_options.syncInterval);
+            pause(syncPause());
             // News travel at once, but not more often than this.
             base::Duration since = BootClock::now() - m_lastSync;
             if (since < m_options.urgentInterval && !m_isStopping)
@@ -182,10 +186,35 @@
         base::logEvent(LogLevel::Warning, "replica.entry_unreadable", { { "key", fault.key }, { "why", fault.fault } });
 }
 
+base::Duration Fabric::syncPause() const
+{
+    double crowd = static_cast<double>(memberCount()) / static_cast<double>(m_options.syncMembers);
+    return std::clamp<base::Duration>(base::durationOf(base::secondsOf(m_options.syncInterval) * crowd),
+        m_options.syncInterval, m_options.syncIntervalMost);
+}
+
+// Everything in the store, in one linearizable read. A large configuration that is known already is not read again but
+// compared: a transaction without writes proves that it has not changed.
+platform::KvRangeResult Fabric::readAll()
+{
+    if (m_configurationValue.size() < configurationLarge)
+        return m_kv.range("");
+    auto compared = m_kv.txn({ { m_dialect.configurationKey, m_configurationRevision } }, {});
+    if (compared.error != platform::KvError::None) {
+        platform::KvRangeResult failed;
+        failed.error = compared.error;
+        return failed;
+    }
+    platform::KvRangeResult all = m_kv.range("", m_dialect.configurationKey);
+    for (platform::KvEntry& entry : compared.current)
+        all.entries.push_back(std::move(entry));
+    return all;
+}
+
 bool Fabric::readStore()
 {
     BootTime askedAt = BootClock::now();
-    platform::KvRangeResult all = m_kv.range("");
+    platform::KvRangeResult all = readAll();
     // A freeze during the call makes the answer older than the proof says; the age counts from the question.
     noteStore(all.error == platform::KvError::None);
     if (all.error != platform::KvError::None)
@@ -241,6 +270,7 @@
         return;
     m_configurationRevision = revision;
     m_configurationValue = value;
+    m_configurationPacked = base::compress(value);
     std::string fault;
     auto configuration = m_dialect.readConfiguration(value, fault);
     if (!configuration) {
@@ -285,8 +315,8 @@
         return;
     if (!isOwnOld) {
         double luck = static_cast<double>(base::stableHash(m_options.name, base::stableHash(m_start)) % 1000) / 1000;
-        double weakness = 1 / (1 + 4 * m_options.strength);
-        auto wait = base::durationOf(base::secondsOf(campaignSpread) * (0.7 * luck + 0.3 * weakness));
+        double weakness = 1 - std::clamp(m_options.strength, 0.0, 1.0);
+        auto wait = base::durationOf(base::secondsOf(campaignSpread) * (0.2 * luck + 0.8 * weakness));
         net::sleepFor(wait);
         auto current = m_kv.get(hubKey);
         if (current.error != platform::KvError::None || !current.entries.empty() || m_isStopping || m_isRetired)
@@ -312,6 +342,7 @@
 void Fabric::becomeHub(int64_t lease, BootTime askedAt, int64_t revision)
 {
     m_isHub = true;
+    m_hubSince = BootClock::now();
     m_lease = lease;
     m_leaseUntil = askedAt + m_options.leaseTime;
     m_fencingToken = revision;
@@ -454,7 +485,8 @@
         for (auto& [account, tokens] : spent.items())
             chargeSpent(account, tokens.get<double>());
         std::erase_if(m_members, [&](auto& item) { return now - item.second.lastSeen > memberSilence; });
-        m_memberCount = m_members.size() + 1;
+        if (now - m_hubSince >= memberSilence)
+            m_memberCount = m_members.size() + 1;
     }
     return describe(body, now);
 }
@@ -463,13 +495,13 @@
 Json Fabric::describe(const Json& asked, BootTime now)
 {
     Json reply { { "start", m_start }, { "hub", m_isHub && now < m_leaseUntil }, { "stamp", m_directory.stamp },
-        { "members", m_memberCount } };
+        { "members", memberCount() } };
     if (m_provenAt == BootTime {})
         return reply;
     reply["age_us"] = std::chrono::duration_cast<base::Micros>(now - m_provenAt).count();
     if (asked.value("configuration", int64_t(0)) < m_configurationRevision) {
         reply["configuration"] = m_configurationRevision;
-        reply["configuration_value"] = Json::binary({ m_configurationValue.begin(), m_configurationValue.end() });
+        reply["configuration_value"] = Json::binary({ m_configurationPacked.begin(), m_configurationPacked.end() });
     }
     if (m_isHub && m_configuration) {
         Json calm = Json::object();
@@ -517,7 +549,7 @@
             removed.push_back(id);
     }
     reply["removed"] = std::move(removed);
-    if (m_isHub && asked.value("members", size_t(0)) != m_memberCount) {
+    if (m_isHub && asked.value("members", size_t(0)) != memberCount()) {
         Json addresses = Json::object();
         for (const auto& [name, member] : m_members)
             addresses[name] = base::formatAddress(member.address);
@@ -614,7 +646,10 @@
     BootTime provenAt = askedAt - base::Micros(body.at("age_us").get<int64_t>());
     if (body.contains("configuration_value")) {
         const auto& bytes = body.at("configuration_value").get_binary();
-        takeConfiguration(std::string(bytes.begin(), bytes.end()), body.at("configuration").get<int64_t>());
+        auto value = base::decompress({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+        if (!value)
+            throw std::runtime_error("the configuration is not compressed as expected");
+        takeConfiguration(*value, body.at("configuration").get<int64_t>());
     }
     uint64_t before = m_directory.stamp;
     // Older knowledge must not bring back replicas that have gone since.
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -45,15 +45,18 @@
     std::string name;
     std::string dataCenter;
     base::Address peerAddress;
-    double strength = 1;                 // share of a core: strong daemons become hub first
+    double strength = 1;                 // 0 to 1, of processor and link: strong daemons become hub first
     base::Millis readInterval { 600 };   // between two reads of the store by the hub
     base::Millis directInterval { 900 }; // by a daemon without a hub
-    base::Millis syncInterval { 300 };   // between two calls to the hub, without urgent news
+    base::Millis syncInterval { 300 };   // between two calls to the hub, without urgent news, in a small fleet
+    base::Millis syncIntervalMost { 600 }; // in a large one; what changes must be known within the platform's bounds
+    size_t syncMembers = 40;             // members that the hub answers at `syncInterval`; more ask less often
     base::Millis urgentInterval { 60 };  // between two calls with urgent news
     base::Millis syncTime { 500 };       // for one call to the hub
     base::Seconds leaseTime { 2 };       // of the hub; a dead hub is replaced after it
     base::Millis orderGap { 3000 };      // between the last order of one hub and the first of another
     base::Millis staleAge { 1600 };      // age of the hub's knowledge beyond which a daemon reads the store itself
+    size_t membersAssumed = 100;         // until a hub has told: parts of the fleet's budgets must not be too large
     double quotaSlack = 0;               // tokens that the fleet may grant beyond an account's burst
 };
 
@@ -147,6 +150,8 @@
 
     // -- the store --
     bool readStore();
+    platform::KvRangeResult readAll();
+    base::Duration syncPause() const;
     void takeRecords(const platform::KvRangeResult&, base::BootTime askedAt);
     void takeConfiguration(const std::string& value, int64_t revision);
     void noteStore(bool isReachable);
@@ -188,6 +193,7 @@
 
     gateway::ConfigurationPointer m_configuration;
     std::string m_configurationValue;
+    std::string m_configurationPacked; // compressed, for other daemons
     int64_t m_configurationRevision = 0;
     directory::Directory m_directory;
     base::BootTime m_provenAt {};
@@ -204,7 +210,8 @@
     uint64_t m_hubStamp = 0;
     base::BootTime m_hubMissingSince {};
     std::map<std::string, base::Address> m_memberAddresses; // last told by the hub
-    size_t m_memberCount = 1;
+    size_t m_memberCount = 0; // 0: not known yet
+    base::BootTime m_hubSince {}; // of this daemon as hub
 
     bool m_isHub = false;
     int64_t m_lease = 0;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -157,6 +157,9 @@
             { "account", session.account }, { "model", session.head.model }, { "adapter", session.head.adapter },
             { "status", status }, { "outcome", outcome }, { "why", why },
             { "took_ms", millisSince(now, session.arrivedAt) }, { "left_ms", millisSince(session.deadline, now) },
+            { "waited_ms", base::millisOf(session.waited) },
+            { "first_ms", session.events.passed ? millisSince(session.firstEventAt, session.arrivedAt) : -1 },
+            { "longest_gap_ms", base::millisOf(session.longestGap) },
             { "tokens", session.tokens },
             { "attempts", session.progress.attemptsSent }, { "events", session.events.passed },
             { "version", session.configuration ? session.configuration->version : 0 },
@@ -372,6 +375,7 @@
         }
         if (replica) {
             m_waiting.erase(&session);
+            session.waited += now - since;
             return replica;
         }
         if (m_isDraining && now - since > m_options.drainWait) {
--- a/src/gateway/Session.cpp
+++ b/src/gateway/Session.cpp
@@ -82,6 +82,12 @@
                 if (!session.exchange.startStream(head.status, dialect.answerHeaders(head)))
                     return ended(AttemptEnd::Unknown, "caller_gone", false);
             }
+            base::BootTime now = BootClock::now();
+            if (session.firstEventAt == base::BootTime {})
+                session.firstEventAt = now;
+            else
+                session.longestGap = std::max<base::Duration>(session.longestGap, now - session.lastEventAt);
+            session.lastEventAt = now;
             if (!session.exchange.sendChunk(whole))
                 return ended(AttemptEnd::Unknown, "caller_gone", false);
         }
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -35,6 +35,10 @@
     RequestProgress progress {};
     EventSplitter events {};
     bool isGone = false;              // the caller has left
+    base::Duration waited { 0 };      // for a replica, over all attempts
+    base::BootTime firstEventAt {};   // of a stream: when it was passed on
+    base::BootTime lastEventAt {};    //
+    base::Duration longestGap { 0 };  // between two of its events
     net::HttpConnection* connection = nullptr; // to the replica, while an attempt runs
     net::Event wake {};               // something that the request waits for may have changed
 };
--- a/src/platform/Kv.h
+++ b/src/platform/Kv.h
@@ -80,8 +80,8 @@
 public:
     virtual ~Kv() = default;
 
-    // All entries whose key starts with `prefix`.
-    virtual KvRangeResult range(const std::string& prefix) = 0;
+    // All entries whose key starts with `prefix` and, if `after` is given, comes after it.
+    virtual KvRangeResult range(const std::string& prefix, const std::string& after = "") = 0;
     virtual KvRangeResult get(const std::string& key) = 0;
     virtual KvTxnResult txn(const std::vector<KvCompare>&, const std::vector<KvWrite>&) = 0;
     virtual KvLeaseResult leaseGrant(base::Seconds timeToLive) = 0;
--- a/src/platform/KvClient.cpp
+++ b/src/platform/KvClient.cpp
@@ -95,9 +95,10 @@
     }
 }
 
-KvRangeResult HttpKv::range(const std::string& prefix)
+KvRangeResult HttpKv::range(const std::string& prefix, const std::string& after)
 {
-    json request = { { "key", base::base64Encode(prefix) }, { "range_end", base::base64Encode(kvPrefixEnd(prefix)) } };
+    std::string first = after.empty() ? prefix : after + '\0'; // the next key in order
+    json request = { { "key", base::base64Encode(first) }, { "range_end", base::base64Encode(kvPrefixEnd(prefix)) } };
     auto answer = m_impl->call("/v3/kv/range", request, m_impl->options.callTimeout);
     return toRangeResult(answer.error, answer.body);
 }
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -16,7 +16,9 @@
 DEFINE_string(metrics_listen, "127.0.0.1:8084", "IP:PORT for the metrics of the gateway");
 DEFINE_string(store, "", "IP:PORT of the platform's metadata store, for the gateway");
 DEFINE_double(cpu_share, 1, "part of a core that this instance has");
+DEFINE_double(link_mbps, 1000, "bandwidth of this instance's link, in Mbit/s");
 DEFINE_int32(configuration_ms, 2000, "time until a change of the configuration must be in force");
+DEFINE_int32(leave_ms, 2000, "time until nothing may be sent to a replica that is leaving");
 DEFINE_int32(revoke_ms, 5000, "time until a withdrawn key must be refused");
 DEFINE_int32(order_gap_ms, 3000, "time between the last order of one holder and the first of another");
 DEFINE_int32(grace_seconds, 8, "time between SIGTERM and the end of the process");
@@ -91,6 +93,8 @@
     };
     settings.configurationTime = millis("configuration_ms", FLAGS_configuration_ms);
     settings.revokeTime = millis("revoke_ms", FLAGS_revoke_ms);
+    settings.linkMbps = readPositive("link_mbps", FLAGS_link_mbps, 1e6, faults);
+    settings.leaveTime = millis("leave_ms", FLAGS_leave_ms);
     settings.orderGap = millis("order_gap_ms", FLAGS_order_gap_ms);
     settings.graceTime = base::Seconds(
         static_cast<int64_t>(readPositive("grace_seconds", FLAGS_grace_seconds, 3600, faults)));
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -23,12 +23,14 @@
     base::Address readyListen;
     base::Address metricsListen;
     base::Address store;
-    double cpuShare = 1; // of a core
+    double cpuShare = 1;      // of a core
+    double linkMbps = 1000;   // of the instance's own link
 
     // May change.
     base::LogLevel logLevel = base::LogLevel::Info;
     base::Millis configurationTime { 2000 }; // until a change must be in force
     base::Millis revokeTime { 5000 };        // until a withdrawn key must be refused, whatever the daemon can reach
+    base::Millis leaveTime { 2000 };         // until nothing may reach a replica that is leaving
     base::Millis orderGap { 3000 };          // between orders of two holders
     base::Seconds graceTime { 8 };           // between SIGTERM and SIGKILL
     base::Seconds repeatWindow { 10 };
