Replace a lost hub sooner and keep the number of members in the store

Change: leases of 1.6 s, the number of members in rs/fleet, calm accounts up to a share for 5 s, all that passes without a hub is charged to the next one; a new hub tells when its orders begin.

--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -18,17 +18,19 @@
 
     constexpr const char* hubKey = "rs/hub";
     constexpr const char* ordererKey = "rs/orderer";
+    constexpr const char* fleetKey = "rs/fleet";
     constexpr const char* secretKey = "rs/secret";
     constexpr size_t secretBytes = 16;
 
     constexpr base::Millis campaignSpread { 700 };   // over which candidates wait for a stronger one
     constexpr base::Millis startInterval { 200 };    // between two reads while there is no hub yet
     constexpr base::Millis memberSilence { 3000 };   // after which the hub no longer counts a member
-    constexpr base::Millis leaseMargin { 300 };      // before the lease's end, from which on nothing is ordered
+    constexpr base::Millis leaseMargin { 250 };      // before the lease's end, from which on nothing is ordered
     constexpr base::Millis outageLeast { 300 };      // failures of the store shorter than this let nothing lapse
     constexpr size_t configurationLarge = 48 * 1024; // bytes from which on a known configuration is not read again
     constexpr base::Millis grantWait { 150 };        // for the hub to grant usage
     constexpr base::Millis ratesInterval { 1500 };   // between two reports of rates, which change slowly
+    constexpr double membersStep = 0.2;              // part by which the number of members must change to be stored
     constexpr double grantAhead = 2;                 // requests of this size that one grant covers
 
     int64_t ageMillis(BootTime now, BootTime then)
@@ -134,6 +136,7 @@
     while (!m_isStopping) {
         if (m_isHub) {
             readStore();
+            storeMembers();
             net::sleepFor(m_options.readInterval);
             continue;
         }
@@ -235,7 +238,12 @@
             takeConfiguration(entry.value, entry.modRevision);
         else if (entry.key.starts_with(m_dialect.entryPrefix))
             entries.push_back({ entry.key, entry.value, entry.modRevision });
-        else if (entry.key == secretKey)
+        else if (entry.key == fleetKey) {
+            Json json = Json::parse(entry.value, nullptr, false);
+            m_membersStored = json.is_object() ? json.value("members", size_t(0)) : 0;
+            if (!m_memberCount)
+                m_memberCount = m_membersStored;
+        } else if (entry.key == secretKey)
             secret = entry.value;
         else if (entry.key == hubKey) {
             Json json = Json::parse(entry.value, nullptr, false);
@@ -316,7 +324,8 @@
     if (!isOwnOld) {
         double luck = static_cast<double>(base::stableHash(m_options.name, base::stableHash(m_start)) % 1000) / 1000;
         double weakness = 1 - std::clamp(m_options.strength, 0.0, 1.0);
-        auto wait = base::durationOf(base::secondsOf(campaignSpread) * (0.2 * luck + 0.8 * weakness));
+        double part = luck * (0.3 + 0.7 * weakness) + (weakness > 0.8 ? 0.3 : 0);
+        auto wait = base::durationOf(base::secondsOf(campaignSpread) * part);
         net::sleepFor(wait);
         auto current = m_kv.get(hubKey);
         if (current.error != platform::KvError::None || !current.entries.empty() || m_isStopping || m_isRetired)
@@ -383,10 +392,23 @@
     if (isFirst)
         m_grantBook.startPart = 1;
     for (auto& [account, share] : m_grants.shares)
-        chargeSpent(account, std::exchange(share.spentCalm, 0));
+        chargeSpent(account, std::exchange(share.spent, 0));
     m_ordersFrom = isFirst || wasSelf ? now : now + m_options.orderGap;
 }
 
+// Keeps the number of members in the store, for daemons that start without a hub.
+void Fabric::storeMembers()
+{
+    BootTime now = BootClock::now();
+    if (!m_isHub || now - m_hubSince < memberSilence || now >= m_leaseUntil)
+        return;
+    double known = static_cast<double>(m_membersStored);
+    double change = std::abs(static_cast<double>(m_memberCount) - known);
+    if (m_memberCount == 0 || change <= membersStep * known)
+        return;
+    m_kv.txn({}, { { fleetKey, Json { { "members", m_memberCount } }.dump(), 0 } });
+}
+
 void Fabric::resign(const char* why)
 {
     if (!m_isHub)
@@ -402,7 +424,7 @@
 {
     int64_t lease = m_lease;
     while (m_isHub && m_lease == lease) {
-        net::sleepFor(base::Millis(m_options.leaseTime) / 4);
+        net::sleepFor(m_options.leaseTime / 4);
         if (!m_isHub || m_lease != lease)
             return;
         BootTime askedAt = BootClock::now();
@@ -459,12 +481,13 @@
             member.demand[keyOf(row)].rate = row.at(3).get<double>();
     }
     for (auto& [key, demand] : member.demand)
-        demand.waiting = demand.worth = 0;
+        demand.waiting = demand.worth = demand.reading = 0;
     if (body.contains("waiting")) {
         for (const Json& row : body.at("waiting")) {
             Demand& demand = member.demand[keyOf(row)];
             demand.waiting = row.at(3).get<double>();
             demand.worth = row.at(4).get<double>();
+            demand.reading = row.at(5).get<double>();
         }
     }
 }
@@ -569,6 +592,7 @@
         for (const auto& [key, demand] : member.demand) {
             table[key].waiting += demand.waiting;
             table[key].worth += demand.worth;
+            table[key].reading += demand.reading;
             table[key].rate += demand.rate;
         }
     }
@@ -588,8 +612,8 @@
     Json waiting = Json::array();
     Json rates = Json::array();
     for (const auto& [key, row] : m_demandSource()) {
-        if (row.waiting > 0)
-            waiting.push_back({ key.service, key.model, key.adapter, row.waiting, row.worth });
+        if (row.waiting > 0 || row.reading > 0)
+            waiting.push_back({ key.service, key.model, key.adapter, row.waiting, row.worth, row.reading });
         if (row.rate > 0)
             rates.push_back({ key.service, key.model, key.adapter, row.rate });
     }
@@ -618,8 +642,8 @@
             body["unused"] = std::move(unused);
         Json spent = Json::object();
         for (auto& [account, share] : m_grants.shares) {
-            if (share.spentCalm > 0)
-                spent[account] = std::exchange(share.spentCalm, 0);
+            if (share.spent > 0)
+                spent[account] = std::exchange(share.spent, 0);
         }
         if (!spent.empty())
             body["spent"] = std::move(spent);
@@ -763,7 +787,7 @@
         }
     }
     base::counterAdd("quota_decided_alone_total");
-    if (quota::grantSpendCalm(m_grants, account.name, tokens, BootClock::now()))
+    if (quota::grantSpendCalm(m_grants, account.name, limit, tokens, memberCount(), BootClock::now()))
         return true;
     double luck = static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
     return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), luck, BootClock::now());
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -13,6 +13,7 @@
 // What lasts in the store:
 //   rs/hub       {name, address, start}, under the hub's lease; its creation revision is the fencing token
 //   rs/orderer   {name}, without a lease: who gave orders last; another one waits before it gives any
+//   rs/fleet     {members}, without a lease: how many daemons share the fleet's budgets, for those that have no hub
 //   rs/secret    the secret by which daemons know each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and survives lost history; a silent watch proves nothing.
@@ -53,7 +54,7 @@
     size_t syncMembers = 40;             // members that the hub answers at `syncInterval`; more ask less often
     base::Millis urgentInterval { 60 };  // between two calls with urgent news
     base::Millis syncTime { 500 };       // for one call to the hub
-    base::Seconds leaseTime { 2 };       // of the hub; a dead hub is replaced after it
+    base::Millis leaseTime { 1600 };     // of the hub; a dead hub is replaced after it
     base::Millis orderGap { 3000 };      // between the last order of one hub and the first of another
     base::Millis staleAge { 1600 };      // age of the hub's knowledge beyond which a daemon reads the store itself
     size_t membersAssumed = 100;         // until a hub has told: parts of the fleet's budgets must not be too large
@@ -64,6 +65,7 @@
 struct Demand {
     double waiting = 0;  // requests that wait for a replica now
     double worth = 0;    // the sum of their weights
+    double reading = 0;  // requests that a replica has and has not begun to answer, now
     double rate = 0;     // arrivals a second, smoothed
 };
 
@@ -130,6 +132,7 @@
     size_t memberCount() const;
     bool isHub() const { return m_isHub; }
     bool mayOrder(base::BootTime now) const; // holds the lease for sure, and nobody else's orders are recent
+    base::BootTime ordersFrom() const { return m_ordersFrom; } // hub only: not before the former holder's are over
     int64_t fencingToken() const { return m_fencingToken; }
     bool storeIsReachable() const { return m_storeIsReachable; }
 
@@ -159,6 +162,7 @@
 
     // -- the hub --
     void campaign();
+    void storeMembers();
     void becomeHub(int64_t lease, base::BootTime askedAt, int64_t createRevision);
     void renewLoop();
     nlohmann::json answer(const std::string& from, const std::string& method, const nlohmann::json& body);
@@ -211,6 +215,7 @@
     base::BootTime m_hubMissingSince {};
     std::map<std::string, base::Address> m_memberAddresses; // last told by the hub
     size_t m_memberCount = 0; // 0: not known yet
+    size_t m_membersStored = 0;   // as in the store
     base::BootTime m_hubSince {}; // of this daemon as hub
 
     bool m_isHub = false;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -132,6 +132,10 @@
     fabric::DemandTable table;
     for (auto& [key, rate] : m_rates)
         table[key].rate = rate;
+    for (Session* session : m_sessions) {
+        if (session->onFirstByte)
+            table[demandKey(*session)].reading += 1;
+    }
     for (Session* session : m_waiting) {
         fabric::Demand& row = table[demandKey(*session)];
         row.waiting += 1;
@@ -284,7 +288,7 @@
 {
     ReplicaUse& use = m_uses[replica.entry.id];
     if (use.bornMillis != replica.entry.bornMillis) {
-        use = { replica.entry.bornMillis, use.ownNow };
+        use = { replica.entry.bornMillis, use.ownNow, 0, use.unread };
         m_channels.forget(replica.entry.address);
     }
     if (replica.hasReport && replica.reportAt > use.reportedAt) {
@@ -328,12 +332,15 @@
         view.ownNow = use.ownNow;
         view.ownThen = use.ownThen;
         view.reportAge = now - use.reportedAt;
+        view.ownUnread = use.unread;
         view.trouble = troubleOf(use, now);
         view.isAway = replica.entry.dataCenter != m_fabric.options().dataCenter;
         views.push_back(view);
         replicas.push_back(&replica);
     }
     ChoiceRequest request { affinityOf(session.head), base::stableHash(session.head.id) };
+    request.isLong = session.head.promptTokens >= m_options.longPrompt;
+    request.group = isEngine ? base::stableHash(session.head.model) | 1 : 0;
     auto chosen
         = replicaChoose(views, request, isEngine ? m_options.engineChoice : m_options.plainChoice);
     return chosen ? replicas[*chosen] : nullptr;
@@ -419,12 +426,16 @@
     {
         ReplicaUse& use = useOf(replica);
         use.ownNow += 1;
+        use.unread += 1;
     }
+    session.onFirstByte = [this, id = entry.id] { m_uses[id].unread = std::max(0.0, m_uses[id].unread - 1); };
     ++session.progress.attemptsSent;
     BootTime begunAt = BootClock::now();
     AttemptResult result = attemptRun(session, entry, m_dialect, m_channels);
     if (result.end != AttemptEnd::NotRun)
         ++session.progress.attemptsRun;
+    if (session.onFirstByte)
+        std::exchange(session.onFirstByte, nullptr)();
     BootTime now = BootClock::now();
     ReplicaUse& use = m_uses[entry.id];
     use.ownNow = std::max(0.0, use.ownNow - 1);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -31,6 +31,7 @@
     base::Millis revokeLimit { 4800 };   // age of configuration up to which keys are trusted
     base::Millis denyLimit { 1800 };     // age up to which an unknown route or key is refused for good
     base::Millis retryAfter { 300 };     // when a refused caller may come back, if nothing better is known
+    double longPrompt = 2500;            // tokens from which on reading a prompt delays others
     base::Millis drainWait { 1000 };     // that a request may wait for a replica while the process stops
     base::Seconds rateTime { 10 };       // over which arrivals are smoothed
     WaitOptions waiting;
@@ -69,6 +70,7 @@
         int64_t bornMillis = 0;
         double ownNow = 0;
         double ownThen = 0;
+        double unread = 0; // requests under way whose first byte has not come
         double reported = 0;
         base::BootTime reportedAt {};
         double trouble = 0;
--- a/src/gateway/ReplicaChoice.cpp
+++ b/src/gateway/ReplicaChoice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/ReplicaChoice.h"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 
@@ -16,9 +17,33 @@
     return (others * weight + view.ownNow) / std::max(1.0, view.slots);
 }
 
+std::vector<bool> replicasForShort(
+    const std::vector<std::string_view>& ids, uint64_t group, const ReplicaChoiceOptions& options)
+{
+    std::vector<bool> isShort(ids.size(), false);
+    if (ids.size() < options.groupsFrom)
+        return isShort;
+    std::vector<std::pair<uint64_t, size_t>> ranks;
+    for (size_t i = 0; i < ids.size(); ++i)
+        ranks.push_back({ base::stableHash(ids[i], group), i });
+    std::sort(ranks.begin(), ranks.end());
+    auto count = static_cast<size_t>(std::ceil(options.shortPart * static_cast<double>(ids.size())));
+    for (size_t i = 0; i < count; ++i)
+        isShort[ranks[i].second] = true;
+    return isShort;
+}
+
 std::optional<size_t> replicaChoose(
     const std::vector<ReplicaView>& views, const ChoiceRequest& request, const ReplicaChoiceOptions& options)
 {
+    bool hasGroups = request.group && views.size() >= options.groupsFrom;
+    std::vector<bool> isShort;
+    if (hasGroups) {
+        std::vector<std::string_view> ids;
+        for (const ReplicaView& view : views)
+            ids.push_back(view.id);
+        isShort = replicasForShort(ids, request.group, options);
+    }
     std::optional<size_t> preferred;
     uint64_t preferredRank = 0;
     bool hasSound = false;
@@ -26,6 +51,8 @@
         if (views[i].trouble >= options.troubleMost)
             continue;
         hasSound = true;
+        if (hasGroups && isShort[i] == request.isLong)
+            continue;
         uint64_t rank = base::stableHash(views[i].id, request.affinity);
         if (request.affinity && (!preferred || rank > preferredRank)) {
             preferred = i;
@@ -42,6 +69,9 @@
         if (load >= options.fullLoad)
             continue;
         double cost = load + view.trouble * options.troubleCost;
+        cost += view.ownUnread * options.unreadCost;
+        if (hasGroups && isShort[i] == request.isLong)
+            cost += options.otherGroupCost;
         if (view.isAway)
             cost += options.awayCost;
         if (preferred && *preferred == i)
--- a/src/gateway/ReplicaChoice.h
+++ b/src/gateway/ReplicaChoice.h
@@ -2,7 +2,10 @@
 //
 // Contents
 //   [1] Data            ReplicaView, ChoiceRequest, ChoiceOptions
-//   [2] Decisions       replicaCost(), replicaChoose()
+//   [2] Decisions       replicaLoad(), replicaChoose()
+//
+// Reading a long prompt delays every stream of the same replica. Where a model has several replicas, some of them are
+// for short prompts, so that their streams run evenly; load moves between the groups when one of them is busy.
 //
 // Load pattern: prompts share long beginnings, reports of load lag, and at the worst load some replicas are full while
 // others of the same model have room. A request goes to the replica that its prompt's shared parts hash to, as long as
@@ -30,6 +33,7 @@
     double ownNow = 0;             // of this daemon, under way now
     double ownThen = 0;            // of this daemon, under way at that report
     base::Duration reportAge { 0 };
+    double ownUnread = 0;          // of this daemon's, those whose prompt is still being read
     double trouble = 0;            // recent failures, decaying
     bool isAway = false;           // in another data centre
 };
@@ -37,6 +41,8 @@
 struct ChoiceRequest {
     uint64_t affinity = 0; // hash of the prompt's shared parts; 0: none
     uint64_t draw = 0;     // differs between requests
+    bool isLong = false;   // reading its prompt keeps the replica busy
+    uint64_t group = 0;    // hash of the model: which replicas read long prompts
 };
 
 struct ReplicaChoiceOptions {
@@ -45,11 +51,18 @@
     double troubleCost = 0.5;            // of the slots, for each recent failure
     base::Millis reportHalfLife { 400 }; // of the requests of others in a report
     double fullLoad = 1.0;               // requests for each slot beyond which a replica gets no more
+    double unreadCost = 0.04;            // of the slots, for each prompt that is being read
+    double otherGroupCost = 0.2;         // of the slots, for a replica of the other group
+    double shortPart = 0.34;             // of a model's replicas, that serve short prompts first
+    size_t groupsFrom = 1000;               // replicas of a model from which on they are told apart
     double troubleMost = 3;              // failures at which a replica is used only if no other is left
 };
 
 // ---- [2] Decisions -----------------------------------------------------------------------------
 
+// Which of a model's replicas are for short prompts; all of them while there are few.
+std::vector<bool> replicasForShort(const std::vector<std::string_view>& ids, uint64_t group, const ReplicaChoiceOptions&);
+
 // Requests for each slot.
 double replicaLoad(const ReplicaView&, const ReplicaChoiceOptions&);
 
--- a/src/gateway/Session.cpp
+++ b/src/gateway/Session.cpp
@@ -74,6 +74,8 @@
             HttpCallError error = session.connection->readSome(bytes, isEnd, steadyDeadline(session));
             if (error != HttpCallError::None)
                 return ended(AttemptEnd::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
+            if (session.onFirstByte)
+                std::exchange(session.onFirstByte, nullptr)();
             std::string whole = eventsTake(session.events, bytes);
             if (whole.empty())
                 continue;
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -40,6 +40,7 @@
     base::BootTime lastEventAt {};    //
     base::Duration longestGap { 0 };  // between two of its events
     net::HttpConnection* connection = nullptr; // to the replica, while an attempt runs
+    std::function<void()> onFirstByte {}; // called once for each attempt, at its end at the latest
     net::Event wake {};               // something that the request waits for may have changed
 };
 
--- a/src/gateway/Waiting.cpp
+++ b/src/gateway/Waiting.cpp
@@ -24,8 +24,8 @@
             options);
     if (!view.isHeld && view.readyIn && *view.readyIn > usable + options.estimateSlack)
         return refuseWith("model_comes_too_late", *view.readyIn, options);
-    if (!view.isHeld && !view.readyIn && !view.isAdapter && view.waited > options.unknownMost && !view.hasHub)
-        return refuseWith("nobody_orders_models", options.unknownMost, options);
+    if (!view.isHeld && !view.readyIn && !view.hasHub && options.withoutHub - view.waited > usable)
+        return refuseWith("nobody_orders_models", options.withoutHub - view.waited, options);
     WaitDecision decision;
     decision.mayWait = true;
     decision.lookAgain = std::min(options.lookAgain, std::max(base::Millis(1), std::chrono::duration_cast<base::Millis>(usable)));
--- a/src/gateway/Waiting.h
+++ b/src/gateway/Waiting.h
@@ -34,7 +34,7 @@
 
 struct WaitOptions {
     base::Millis serveLeast { 150 };     // time that a request needs at a replica at least
-    base::Millis unknownMost { 700 };    // without word from the hub on when the model will be ready
+    base::Millis withoutHub { 4500 };    // until a new hub may order and the model is loaded from disk
     base::Millis retryLeast { 200 };     // shortest time after which a refused caller may come back
     base::Millis lookAgain { 150 };      // between two looks while waiting
     base::Millis estimateSlack { 300 };  // by which estimates may be late
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -87,6 +87,7 @@
     m_follows.clear();
     m_storeLoads.clear();
     m_storeLoadsRunning = 0;
+    m_reading.clear();
     m_storeSpeed.atOnce = m_options.storeLoadsAtOnce;
     base::logEvent(LogLevel::Info, "placement.taken_over", { { "fencing_token", m_token } });
 }
@@ -109,9 +110,17 @@
     BootTime now = BootClock::now();
     askReports(now);
     fabric::DemandTable demand = m_fabric.collectDemand(now);
-    if (!m_fabric.mayOrder(now))
-        return;
+    smoothReading(demand, now);
     std::map<fabric::ModelKey, BootTime> outlook;
+    if (!m_fabric.mayOrder(now)) {
+        // Until the former hub's orders are over, callers are told when ours begin.
+        for (auto& [key, row] : demand) {
+            if (row.waiting > 0 && m_fabric.ordersFrom() != BootTime::max())
+                outlook[{ key.service, key.model }] = std::max(now, m_fabric.ordersFrom()) + m_options.firstJobs;
+        }
+        m_fabric.setOutlook(std::move(outlook));
+        return;
+    }
     for (const auto& [name, service] : configuration->services) {
         if (service.engine)
             planService(service, demand, now, outlook);
@@ -119,6 +128,27 @@
     m_fabric.setOutlook(std::move(outlook));
 }
 
+// Puts the smoothed number of requests without a first byte in the place of the momentary one, over all adapters.
+void Placer::smoothReading(fabric::DemandTable& demand, BootTime now)
+{
+    double part = 1 - std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_readingAt))
+        / base::secondsOf(m_options.readingTime));
+    m_readingAt = now;
+    std::map<fabric::ModelKey, double> momentary;
+    for (auto& [key, row] : demand)
+        momentary[{ key.service, key.model }] += std::exchange(row.reading, 0);
+    for (auto& [key, value] : m_reading)
+        value += part * ((momentary.contains(key) ? momentary[key] : 0) - value);
+    for (auto& [key, value] : momentary) {
+        if (!m_reading.contains(key))
+            m_reading[key] = part * value;
+    }
+    constexpr double readingLeast = 0.01;
+    std::erase_if(m_reading, [](auto& item) { return item.second < readingLeast; });
+    for (auto& [key, value] : m_reading)
+        demand[{ key.first, key.second, "" }].reading = value;
+}
+
 // ---- Reports -----------------------------------------------------------------------------------
 
 const gateway::Engine* Placer::engineOf(const std::string& id) const
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -31,6 +31,8 @@
     base::Seconds ceilingWindow { 5 };    // of the weight store's limit on loads
     base::Millis adapterTime { 20 };      // until an accepted adapter can be used
     base::Millis settleTime { 1800 };     // after a takeover, until the members' rates are known
+    base::Millis readingTime { 1500 };    // over which requests without a first byte are smoothed
+    base::Millis firstJobs { 1200 };      // until models are ready, counted from when orders are allowed
     double storeLoadsAtOnce = 4;          // of the weight store at full speed, until it is measured
     PlanOptions plan;
 };
@@ -61,6 +63,7 @@
     };
 
     void tick();
+    void smoothReading(fabric::DemandTable&, base::BootTime now);
     void beginHub();
     void askReports(base::BootTime now);
     bool askReport(const std::string& id);
@@ -87,6 +90,8 @@
     base::BootTime m_hubSince {};
     size_t m_storeLoadsRunning = 0;
     StoreSpeed m_storeSpeed;
+    std::map<fabric::ModelKey, double> m_reading; // requests without a first byte, smoothed
+    base::BootTime m_readingAt {};
 };
 
 } // namespace rattanshunt::models
--- a/src/models/Planner.cpp
+++ b/src/models/Planner.cpp
@@ -15,6 +15,7 @@
         double waiting = 0;
         double worth = 0;
         double rate = 0;
+        double reading = 0;
     };
 
     struct Planning {
@@ -61,16 +62,34 @@
         return { spec.storeLoad, true };
     }
 
-    // What unloading one copy of a model costs, in requests a second that would have to wait for it again.
+    // What unloading one copy of a model costs: requests that then wait for a swap, or for the copies that are left.
     double unloadCost(const Planning& planning, const std::string& model)
     {
-        double rate = planning.options.keepRate;
-        auto demand = planning.demand.find(model);
-        if (demand != planning.demand.end())
-            rate = std::max(rate, demand->second.rate);
+        const PlanOptions& options = planning.options;
+        auto found = planning.demand.find(model);
+        double rate = options.keepRate;
+        double reading = 0;
+        if (found != planning.demand.end()) {
+            rate = std::max(rate, found->second.rate);
+            reading = found->second.reading;
+        }
         auto copies = planning.copies.find(model);
         int count = copies == planning.copies.end() ? 1 : std::max(1, copies->second);
-        return count == 1 ? rate * planning.options.lastCopyWeight : rate / count;
+        if (count == 1)
+            return options.swapCost + rate * options.swapTime + reading;
+        double left = reading / (count - 1);
+        return options.swapCost / count + rate / count * 0.1 + (left > options.readingMost / 2 ? left : 0);
+    }
+
+    // What one more copy of a model brings.
+    double copyGain(const Planning& planning, const std::string& model)
+    {
+        auto found = planning.demand.find(model);
+        auto copies = planning.copies.find(model);
+        if (found == planning.demand.end() || copies == planning.copies.end() || copies->second < 1)
+            return 0;
+        double each = found->second.reading / copies->second;
+        return each > planning.options.readingMost ? found->second.reading / (copies->second + 1) : 0;
     }
 
     struct Room {
@@ -272,6 +291,7 @@
         demand.waiting += row.waiting;
         demand.worth += row.worth;
         demand.rate += row.rate;
+        demand.reading += row.reading;
     }
     for (const PlanReplica& replica : input.replicas) {
         for (const HeldModel& held : replica.held)
@@ -303,17 +323,20 @@
         if (!least || *least > options.adapterLoad)
             placeAdapter(planning, spec->second, key.adapter);
     }
-    // Further copies of models whose holders are all busy.
+    // Further copies of models whose holders are busy reading prompts, those that bring most first.
+    std::vector<std::pair<double, const ModelSpec*>> wanted;
     for (auto& [worth, spec] : order) {
-        auto least = leastLoad(planning, spec->name, "");
         bool isComing = false;
         for (const PlanReplica& replica : input.replicas)
             isComing = isComing || replica.coming.contains(spec->name);
-        if (!least || *least < options.copyLoad || isComing || planning.copies[spec->name] == 0)
-            continue;
-        double gain = planning.demand[spec->name].rate / planning.copies[spec->name];
-        placeModel(planning, *spec, gain / options.replaceRatio);
+        double gain = copyGain(planning, spec->name);
+        if (gain > 0 && !isComing)
+            wanted.push_back({ gain, spec });
     }
+    std::sort(wanted.begin(), wanted.end(),
+        [](auto& a, auto& b) { return a.first != b.first ? a.first > b.first : a.second->name < b.second->name; });
+    for (auto& [gain, spec] : wanted)
+        placeModel(planning, *spec, gain / options.gainRatio);
     for (const PlanReplica& replica : input.replicas) {
         if (!replica.isEngaged && !planning.engaged.contains(replica.id))
             fillRoom(planning, replica);
--- a/src/models/Planner.h
+++ b/src/models/Planner.h
@@ -8,6 +8,9 @@
 // then, evenly, and do not all fit. When demand moves or replicas crash, many are missing at once. A model that is
 // waited for goes to the replica where it is ready soonest (host memory, disk, then the weight store) and where what
 // makes way is asked for least. Jobs go in the order of the worth that waits, since loads from the weight store are few.
+// Gains and costs are in requests that wait for their first byte at any moment (by Little's law, arrivals a second times
+// the time that each of them waits).
+//
 // Room that a crash or a new replica left is filled before it is asked for, from what is at hand first.
 //
 // Pure; safe from any thread.
@@ -54,11 +57,13 @@
 };
 
 struct PlanOptions {
-    double copyLoad = 0.35;      // load of all holders beyond which a model gets one more copy
+    double readingMost = 3.0;    // requests for each copy that wait for their first byte, beyond which one more is wanted
+    double swapTime = 2.5;       // s to bring an unloaded model back from disk, unloading included
+    double swapCost = 0.1;       // of a swap as such, in the same unit as below
     double adapterLoad = 0.5;    // load of all holders of an adapter beyond which it gets one more place
-    double lastCopyWeight = 4;   // how much dearer the only copy of a model is to unload than one of several
+    double lastCopyWeight = 4;   // how much more a model that nobody holds counts when free room is filled
     double keepRate = 0.02;      // arrivals a second that a held model counts for at least
-    double replaceRatio = 2;     // how much more a further copy must be asked for than what makes way
+    double gainRatio = 2.0;      // how much more a further copy must bring than what makes way costs
     double spareCopyRate = 0.3;  // requests a second for each copy that fill free room with one more
 };
 
--- a/src/platform/Kv.h
+++ b/src/platform/Kv.h
@@ -84,7 +84,7 @@
     virtual KvRangeResult range(const std::string& prefix, const std::string& after = "") = 0;
     virtual KvRangeResult get(const std::string& key) = 0;
     virtual KvTxnResult txn(const std::vector<KvCompare>&, const std::vector<KvWrite>&) = 0;
-    virtual KvLeaseResult leaseGrant(base::Seconds timeToLive) = 0;
+    virtual KvLeaseResult leaseGrant(base::Millis timeToLive) = 0;
     virtual KvLeaseResult leaseRenew(int64_t lease) = 0;
     virtual KvError leaseRevoke(int64_t lease) = 0;
 
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -32,9 +32,14 @@
 // Part of its capacity that an account's level must have for the account to count as calm: it keeps far below its limit.
 constexpr double calmLevelPart = 0.4;
 
-// Time after the hub's last word for which a calm account is let through without it. Even a burst of several times the
-// rate that begins just then stays within the slack of a few seconds.
-constexpr base::Millis calmTime { 2500 };
+// Time after the hub's last word for which a calm account is let through without it, up to `calmShares` times a member's
+// share of its rate over that time and of half of its burst: requests do not arrive at all daemons alike.
+constexpr base::Seconds calmTime { 5 };
+constexpr double calmShares = 3;
+
+// Part of what a window may hold beyond rate and burst that daemons may use between them before they know a hub.
+constexpr double aloneExcessPart = 0.09;
+constexpr double aloneWindow = 8; // s
 
 // ---- [1] Hub -----------------------------------------------------------------------------------
 
@@ -111,7 +116,7 @@
     struct Share {
         double granted = 0;       // tokens from the hub, not spent yet
         double alone = 0;         // level of the allowance for when the hub can't be reached
-        double spentCalm = 0;     // let through without the hub, to be told to the next one
+        double spent = 0;         // let through without the hub, to be told to the next one
         base::BootTime aloneAt {};
     };
     std::map<std::string, Share> shares;
@@ -120,12 +125,18 @@
 };
 
 // Lets a calm account through shortly after the hub was lost. False if it is not known to be calm.
-inline bool grantSpendCalm(LocalGrants& grants, const std::string& account, double tokens, base::BootTime now)
+inline bool grantSpendCalm(LocalGrants& grants, const std::string& account, const AccountLimit& limit, double tokens,
+    size_t members, base::BootTime now)
 {
     auto found = grants.calm.find(account);
     if (found == grants.calm.end() || !found->second || now - grants.hubWordAt > calmTime)
         return false;
-    grants.shares[account].spentCalm += tokens;
+    double count = static_cast<double>(std::max<size_t>(1, members));
+    double most = calmShares * (limit.rate * base::secondsOf(calmTime) + limit.burst / 2) / count;
+    LocalGrants::Share& share = grants.shares[account];
+    if (share.spent + tokens > most)
+        return false;
+    share.spent += tokens;
     return true;
 }
 
@@ -147,7 +158,8 @@
     size_t members, double luck, base::BootTime now)
 {
     double count = static_cast<double>(std::max<size_t>(1, members));
-    double capacity = std::max(limit.slack, limit.burst) * aloneSlackPart / count;
+    double capacity
+        = (limit.slack * aloneSlackPart + aloneExcessPart * (limit.rate * aloneWindow + limit.burst)) / count;
     auto [found, isNew] = grants.shares.try_emplace(account);
     LocalGrants::Share& share = found->second;
     if (share.aloneAt == base::BootTime {}) {
@@ -160,6 +172,7 @@
     if (share.alone <= luck * tokens)
         return false;
     share.alone = std::max(0.0, share.alone - tokens);
+    share.spent += tokens;
     return true;
 }
 
