--- /dev/null
+++ b/lab/GatewayFleet.cpp
@@ -0,0 +1,178 @@
+#include "GatewayFleet.h"
+
+#include <fmt/format.h>
+
+#include "platform/Dialect.h"
+
+namespace rattanshunt::lab {
+
+namespace {
+    constexpr base::Millis poll { 10 };
+    constexpr base::Seconds readyTime { 10 };
+    constexpr int64_t callerTime = 6000; // ms that callers wait
+}
+
+LabGateway::LabGateway(net::Loop& loop, const base::Address& address, const std::string& name,
+    const gateway::GatewayOptions& gatewayOptions, const fabric::FabricOptions& fabricOptions)
+    : dialect(platform::dialectCreate())
+    , store(loop, { address, base::Millis(400) })
+    , fabric(
+          loop,
+          [&] {
+              fabric::FabricOptions options = fabricOptions;
+              options.name = name;
+              options.peerAddress = { "127.0.0.1", 0 };
+              return options;
+          }(),
+          dialect, store)
+    , gateway(loop, gatewayOptions, dialect, fabric)
+    , placer(loop, {}, fabric, dialect)
+{
+}
+
+GatewayFleet::GatewayFleet(net::Loop& loop)
+    : m_loop(loop)
+    , m_store(loop)
+{
+    std::string error;
+    m_store.listen(error);
+    m_store.put("rs/secret", "secret-of-the-test-fleet");
+    m_store.put("rs/fleet", R"({"members":2})");
+    fabricOptions.dataCenter = "dc-1";
+    fabricOptions.orderGap = base::Millis(300);
+    fabricOptions.leaseTime = base::Millis(1000);
+    fabricOptions.quotaSlack = 0;
+}
+
+GatewayFleet::~GatewayFleet() = default;
+
+WireReplica& GatewayFleet::addReplica(WireReplicaOptions options)
+{
+    std::string id = options.id;
+    auto replica = std::make_unique<WireReplica>(m_loop, std::move(options));
+    std::string error;
+    replica->listen(error);
+    m_replicas.push_back({ id, std::move(replica) });
+    announce(*m_replicas.back().second);
+    return *m_replicas.back().second;
+}
+
+LabGateway& GatewayFleet::addGateway(const std::string& name)
+{
+    m_gateways.push_back(
+        std::make_unique<LabGateway>(m_loop, m_store.address(), name, gatewayOptions, fabricOptions));
+    LabGateway& gateway = *m_gateways.back();
+    std::string error;
+    gateway.gateway.listen({ "127.0.0.1", 0 }, error);
+    gateway.fabric.start();
+    gateway.placer.start();
+    return gateway;
+}
+
+void GatewayFleet::announce(WireReplica& replica, bool isDraining)
+{
+    for (auto& [id, each] : m_replicas) {
+        if (each.get() == &replica)
+            m_store.put("servers/" + id, replica.entry(isDraining));
+    }
+}
+
+void GatewayFleet::withdraw(WireReplica& replica)
+{
+    for (auto& [id, each] : m_replicas) {
+        if (each.get() == &replica)
+            m_store.remove("servers/" + id);
+    }
+}
+
+void GatewayFleet::configure(const std::string& json)
+{
+    m_store.put("op/config", json);
+}
+
+bool GatewayFleet::awaitReady()
+{
+    base::TimePoint until = base::Clock::now() + readyTime;
+    auto isReady = [&] {
+        for (auto& gateway : m_gateways) {
+            if (!gateway->gateway.mayServe(base::BootClock::now()) || !gateway->fabric.hasHub()
+                || gateway->fabric.directory().replicas.size() < m_replicas.size())
+                return false;
+        }
+        return true;
+    };
+    while (!isReady()) {
+        if (base::Clock::now() > until)
+            return false;
+        net::sleepFor(poll);
+    }
+    return true;
+}
+
+void GatewayFleet::stop()
+{
+    for (auto& gateway : m_gateways) {
+        gateway->placer.stop();
+        gateway->gateway.beginDrain();
+        gateway->gateway.stopAccepting();
+        gateway->gateway.closeAll();
+        gateway->fabric.stop();
+    }
+    for (auto& [id, replica] : m_replicas)
+        replica->stop();
+    m_store.stop();
+    // Fibers that refer to the gateways end within their poll intervals.
+    net::sleepFor(base::Millis(1500));
+}
+
+CallerAnswer GatewayFleet::call(LabGateway& gateway, net::HttpRequest request, base::Millis leaveAfter)
+{
+    auto connection = net::HttpConnection::create(m_loop, gateway.gateway.address());
+    base::TimePoint begun = base::Clock::now();
+    net::HttpResult result = net::httpCall(*connection, request, begun + leaveAfter);
+    return { result.error, result.response.status, result.response.body, result.response.headers,
+        base::Clock::now() - begun };
+}
+
+std::string labConfiguration(int version, double rate, double burst, const std::string& keys)
+{
+    auto route = [](const char* name, const char* kind, const char* service, const char* more) {
+        return fmt::format(R"({{"name":"{0}","host":"a.example","prefix":"/{0}/","routeType":"{1}","timeoutMs":5000,)"
+                           R"("targetLatencyMs":500,"priority":1,"service":"{2}","maxAttempts":2{3}}})",
+            name, kind, service, more);
+    };
+    std::string models;
+    for (const char* model : { "m1", "m2", "m3" })
+        models += fmt::format(R"({}{{"name":"{}","weightsMb":40,"loadS":0.2,"diskS":0.05,"warmS":0.05,"adapters":4,)"
+                              R"("adapterMb":1}})",
+            models.empty() ? "" : ",", model);
+    return fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"plain","healthPath":"/health",)"
+                       R"("maxConnections":50}},{{"name":"engine","healthPath":"/health","maxConnections":50,"engine":)"
+                       R"({{"slots":8,"kvCapacity":1000,"weightsMb":100,"adapterSlots":2,"loadsPerS":5,"models":[{}]}}}}],)"
+                       R"("tenants":[{{"name":"acme","apiKeys":[{}],"unit":"tokens","plainTokens":10,"ratePerS":{},)"
+                       R"("burst":{}}}]}})",
+        version, route("safe", "safe", "plain", ""), route("once", "unsafe", "plain", ""),
+        route("stream", "stream", "engine", R"(,"resumable":true,"targetGapMs":200)"),
+        route("single", "stream", "engine", R"(,"targetGapMs":200)"), route("open", "safe", "plain", R"(,"public":true)"),
+        models, keys, rate, burst);
+}
+
+net::HttpRequest labRequest(
+    const std::string& path, const std::string& id, const std::string& model, const std::string& key)
+{
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = path;
+    request.headers = { { "Host", "a.example" }, { "Request-Id", id }, { "Deadline-Ms", std::to_string(callerTime) } };
+    if (!key.empty())
+        request.headers.push_back({ "Authorization", "Token " + key });
+    if (!model.empty()) {
+        request.headers.push_back({ "Model", model });
+        request.headers.push_back({ "Token-Count", "60,40" });
+        request.headers.push_back({ "Prompt-Prefix", "aa:40,bb:20" });
+    }
+    request.body = "body of " + id;
+    return request;
+}
+
+} // namespace rattanshunt::lab
--- a/lab/KvStore.cpp
+++ b/lab/KvStore.cpp
@@ -58,7 +58,7 @@
     return result;
 }
 
-int64_t storeGrant(KvStore& store, base::Seconds timeToLive, base::TimePoint now)
+int64_t storeGrant(KvStore& store, base::Millis timeToLive, base::TimePoint now)
 {
     store.leases[++store.lastLease] = { timeToLive, now + timeToLive };
     return store.lastLease;
--- a/lab/KvStore.h
+++ b/lab/KvStore.h
@@ -14,7 +14,7 @@
     platform::Revision revision = 1;
     std::deque<platform::KvEvent> history; // all changes, oldest first
     struct Lease {
-        base::Seconds timeToLive { 0 };
+        base::Millis timeToLive { 0 };
         base::TimePoint expiresAt {};
     };
     std::map<int64_t, Lease> leases;
@@ -26,7 +26,7 @@
 std::vector<platform::KvEntry> storeRange(const KvStore&, const std::string& from, const std::string& end);
 platform::KvTxnResult storeTxn(
     KvStore&, const std::vector<platform::KvCompare>&, const std::vector<platform::KvWrite>&);
-int64_t storeGrant(KvStore&, base::Seconds, base::TimePoint now);
+int64_t storeGrant(KvStore&, base::Millis, base::TimePoint now);
 bool storeRenew(KvStore&, int64_t lease, base::TimePoint now);
 void storeRevoke(KvStore&, int64_t lease);
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -60,6 +60,7 @@
 
     // -- queries --
     fabric::DemandTable demand(); // of this daemon, now
+    base::Address address() const { return m_server->address; } // as bound; valid once it listens
     size_t underWay() const { return m_sessions.size(); }
     bool isDraining() const { return m_isDraining; }
     bool mayServe(base::BootTime now) const; // knows a configuration that is fresh enough for keys
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -109,7 +109,7 @@
             if (m_parser->is_done()) {
                 isEnd = true;
                 m_isBusy = false;
-                if (!m_parser->keep_alive() || m_buffer.size())
+                if (!m_parser->keep_alive())
                     close();
             }
             return HttpCallError::None;
@@ -119,7 +119,8 @@
         {
             if (!m_isConnected || m_isBusy)
                 return false;
-            if (socketPeek(m_socket.native_handle()) == SocketPeek::Quiet)
+            // Bytes after a whole answer belong to no request that could still be sent.
+            if (!m_buffer.size() && socketPeek(m_socket.native_handle()) == SocketPeek::Quiet)
                 return true;
             close();
             return false;
