--- a/lab/GatewayFleet.cpp
+++ b/lab/GatewayFleet.cpp
@@ -59,8 +59,7 @@
 
 LabGateway& GatewayFleet::addGateway(const std::string& name)
 {
-    m_gateways.push_back(
-        std::make_unique<LabGateway>(m_loop, m_store.address(), name, gatewayOptions, fabricOptions));
+    m_gateways.push_back(std::make_unique<LabGateway>(m_loop, m_store.address(), name, gatewayOptions, fabricOptions));
     LabGateway& gateway = *m_gateways.back();
     std::string error;
     gateway.gateway.listen({ "127.0.0.1", 0 }, error);
@@ -146,15 +145,16 @@
         models += fmt::format(R"({}{{"name":"{}","weightsMb":40,"loadS":0.2,"diskS":0.05,"warmS":0.05,"adapters":4,)"
                               R"("adapterMb":1}})",
             models.empty() ? "" : ",", model);
-    return fmt::format(R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"plain","healthPath":"/health",)"
-                       R"("maxConnections":50}},{{"name":"engine","healthPath":"/health","maxConnections":50,"engine":)"
-                       R"({{"slots":8,"kvCapacity":1000,"weightsMb":100,"adapterSlots":2,"loadsPerS":5,"models":[{}]}}}}],)"
-                       R"("tenants":[{{"name":"acme","apiKeys":[{}],"unit":"tokens","plainTokens":10,"ratePerS":{},)"
-                       R"("burst":{}}}]}})",
+    return fmt::format(
+        R"({{"version":{},"routes":[{},{},{},{},{}],"services":[{{"name":"plain","healthPath":"/health",)"
+        R"("maxConnections":50}},{{"name":"engine","healthPath":"/health","maxConnections":50,"engine":)"
+        R"({{"slots":8,"kvCapacity":1000,"weightsMb":100,"adapterSlots":2,"loadsPerS":5,"models":[{}]}}}}],)"
+        R"("tenants":[{{"name":"acme","apiKeys":[{}],"unit":"tokens","plainTokens":10,"ratePerS":{},)"
+        R"("burst":{}}}]}})",
         version, route("safe", "safe", "plain", ""), route("once", "unsafe", "plain", ""),
         route("stream", "stream", "engine", R"(,"resumable":true,"targetGapMs":200)"),
-        route("single", "stream", "engine", R"(,"targetGapMs":200)"), route("open", "safe", "plain", R"(,"public":true)"),
-        models, keys, rate, burst);
+        route("single", "stream", "engine", R"(,"targetGapMs":200)"),
+        route("open", "safe", "plain", R"(,"public":true)"), models, keys, rate, burst);
 }
 
 net::HttpRequest labRequest(
--- a/lab/GatewayFleet.h
+++ b/lab/GatewayFleet.h
@@ -68,7 +68,7 @@
 std::string labConfiguration(int version, double rate = 0, double burst = 0, const std::string& keys = "\"secret-1\"");
 
 // A request of a caller. `model` is empty for the plain routes.
-net::HttpRequest labRequest(const std::string& path, const std::string& id, const std::string& model = "",
-    const std::string& key = "secret-1");
+net::HttpRequest labRequest(
+    const std::string& path, const std::string& id, const std::string& model = "", const std::string& key = "secret-1");
 
 } // namespace rattanshunt::lab
--- a/lab/WireReplica.cpp
+++ b/lab/WireReplica.cpp
@@ -33,6 +33,7 @@
     int64_t highestToken = 0;
     int running = 0;
     int64_t bornMillis = 1700000000000;
+    std::vector<std::pair<base::TimePoint, base::TimePoint>> leaves;
     bool isStopped = false;
 
     Impl(net::Loop& ownLoop, WireReplicaOptions own)
@@ -160,8 +161,7 @@
         std::string expected(net::httpHeader(request.headers, "Expect-Instance"));
         std::string model(net::httpHeader(request.headers, "Model"));
         std::string bare = model.substr(0, model.find('/'));
-        bool isHeld = !options.isEngine
-            || (held.contains(bare) && (bare == model || heldAdapters.contains(model)));
+        bool isHeld = !options.isEngine || (held.contains(bare) && (bare == model || heldAdapters.contains(model)));
         if ((!expected.empty() && expected != options.id) || !isHeld) {
             exchange.respond({ 421, { { "Instance-Id", options.id } }, "" });
             return;
@@ -174,7 +174,7 @@
         size_t number = book.runs.size();
         book.runs.push_back({ id, std::string(net::httpHeader(request.headers, "Tenant")), model,
             std::string(net::httpHeader(request.headers, "Last-Event-Id")),
-            !net::httpHeader(request.headers, "Authorization").empty(), false, {} });
+            !net::httpHeader(request.headers, "Authorization").empty(), false, base::Clock::now(), {} });
         ++running;
         exchange.watchCaller([this, number] { book.runs[number].sawLeave = true; });
         if (options.isEngine)
@@ -277,18 +277,41 @@
     m_impl->server->closeAll();
 }
 
-std::string WireReplica::entry(bool isDraining) const
+std::string WireReplica::entry(bool isDraining, std::optional<base::Address> at)
 {
-    return Json { { "service", m_impl->options.service }, { "address", base::formatAddress(address()) },
+    auto& leaves = m_impl->leaves;
+    bool isLeaving = !leaves.empty() && leaves.back().second == base::timeNever;
+    if (isDraining && !isLeaving)
+        leaves.push_back({ base::Clock::now(), base::timeNever });
+    if (!isDraining && isLeaving)
+        leaves.back().second = base::Clock::now();
+    return Json {
+        { "service", m_impl->options.service }, { "address", base::formatAddress(at.value_or(address())) },
         { "zone", m_impl->options.center }, { "version", "v1" }, { "slots", m_impl->options.slots },
         { "state", isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 }, { "models", m_impl->models() },
-        { "sequence", 1 }, { "born", m_impl->bornMillis } }
-        .dump();
+        { "sequence", 1 }, { "born", m_impl->bornMillis }
+    }.dump();
 }
 
-base::Address WireReplica::address() const { return m_impl->server->address; }
-WireReplicaFaults& WireReplica::faults() { return m_impl->faults; }
-const WireReplicaBook& WireReplica::book() const { return m_impl->book; }
-const std::set<std::string>& WireReplica::held() const { return m_impl->held; }
+base::Address WireReplica::address() const
+{
+    return m_impl->server->address;
+}
+WireReplicaFaults& WireReplica::faults()
+{
+    return m_impl->faults;
+}
+const WireReplicaBook& WireReplica::book() const
+{
+    return m_impl->book;
+}
+const std::vector<std::pair<base::TimePoint, base::TimePoint>>& WireReplica::leaves() const
+{
+    return m_impl->leaves;
+}
+const std::set<std::string>& WireReplica::held() const
+{
+    return m_impl->held;
+}
 
 } // namespace rattanshunt::lab
--- a/lab/WireReplica.h
+++ b/lab/WireReplica.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,13 +17,13 @@
 
 enum class ReplicaFault {
     None,
-    Refuse,      // 503, not run
-    Fail,        // runs and answers 500
-    LoseAnswer,  // runs and closes the connection
-    Truncate,    // runs and breaks off the answer, of a stream in the middle of an event
-    Foreign,     // a late answer to another request comes first
-    NoSeal,      // a success without a signature
-    Silent,      // runs and says nothing
+    Refuse,     // 503, not run
+    Fail,       // runs and answers 500
+    LoseAnswer, // runs and closes the connection
+    Truncate,   // runs and breaks off the answer, of a stream in the middle of an event
+    Foreign,    // a late answer to another request comes first
+    NoSeal,     // a success without a signature
+    Silent,     // runs and says nothing
 };
 
 struct WireReplicaOptions {
@@ -31,19 +32,19 @@
     std::string center = "dc-1";
     bool isEngine = false;
     int slots = 8;
-    double weightsMb = 100;              // memory of an engine
+    double weightsMb = 100; // memory of an engine
     size_t adapterPlaces = 2;
     std::map<std::string, double> sizes; // of models, in MB
     std::set<std::string> held;          // models at the start
     base::Millis workTime { 5 };         // of a plain request, or between two events
     base::Millis loadTime { 40 };
-    int events = 5;                      // of a stream
+    int events = 5; // of a stream
 };
 
 struct WireReplicaFaults {
     ReplicaFault fault = ReplicaFault::None;
-    int next = 0;              // requests that it applies to; negative: all
-    int afterEvents = 2;       // of a stream, for Truncate
+    int next = 0;                  // requests that it applies to; negative: all
+    int afterEvents = 2;           // of a stream, for Truncate
     base::Millis orderDelay { 0 }; // orders get no answer and are carried out so much later; 0: at once, answered
 };
 
@@ -52,8 +53,9 @@
     std::string account;
     std::string model;
     std::string lastEventId;
-    bool hadKey = false;      // the caller's key was passed on
-    bool sawLeave = false;    // the connection closed before the end
+    bool hadKey = false;   // the caller's key was passed on
+    bool sawLeave = false; // the connection closed before the end
+    base::TimePoint startedAt {};
     base::TimePoint endedAt {};
 };
 
@@ -73,8 +75,11 @@
     bool listen(std::string& error); // on a free loopback port
     void stop();
 
-    // Its entry in the platform's list.
-    std::string entry(bool isDraining = false) const;
+    // Its entry in the platform's list, at its own address or at that of a proxy before it.
+    std::string entry(bool isDraining = false, std::optional<base::Address> at = std::nullopt);
+
+    // The spans in which its last entries said that it leaves.
+    const std::vector<std::pair<base::TimePoint, base::TimePoint>>& leaves() const;
 
     base::Address address() const;
     WireReplicaFaults& faults();
--- a/lab/WireStore.cpp
+++ b/lab/WireStore.cpp
@@ -141,7 +141,8 @@
                 break;
             items.push_back(itemJson(entry));
         }
-        return { 200, {}, Json { { "items", items }, { "hasMore", hasMore }, { "storeRevision", store.revision } }.dump() };
+        return { 200, {},
+            Json { { "items", items }, { "hasMore", hasMore }, { "storeRevision", store.revision } }.dump() };
     }
 
     net::HttpResponse txn(const Json& body)
@@ -179,8 +180,8 @@
                 if (event.entry.modRevision <= after || !event.entry.key.starts_with(prefix))
                     continue;
                 if (event.isDelete)
-                    events.push_back({ { "key", event.entry.key }, { "revision", event.entry.modRevision },
-                        { "tombstone", true } });
+                    events.push_back(
+                        { { "key", event.entry.key }, { "revision", event.entry.modRevision }, { "tombstone", true } });
                 else
                     events.push_back(itemJson(event.entry));
             }
@@ -232,9 +233,21 @@
     storeTxn(m_impl->store, {}, { { key, std::nullopt, 0 } });
 }
 
-base::Address WireStore::address() const { return m_impl->server->address; }
-const KvStore& WireStore::state() const { return m_impl->store; }
-WireStoreFaults& WireStore::faults() { return m_impl->faults; }
-uint64_t WireStore::calls() const { return m_impl->calls; }
+base::Address WireStore::address() const
+{
+    return m_impl->server->address;
+}
+const KvStore& WireStore::state() const
+{
+    return m_impl->store;
+}
+WireStoreFaults& WireStore::faults()
+{
+    return m_impl->faults;
+}
+uint64_t WireStore::calls() const
+{
+    return m_impl->calls;
+}
 
 } // namespace rattanshunt::lab
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -1,11 +1,14 @@
 // Stand-ins, load generator and experiments. Not shipped.
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 #include "Bench.h"
 #include "EngineStandIn.h"
@@ -15,6 +18,7 @@
 #include "PlatformStandIn.h"
 #include "Scenario.h"
 #include "ServiceStandIn.h"
+#include "Soak.h"
 #include "Verdict.h"
 #include "base/Log.h"
 #include "platform/InstanceList.h"
@@ -49,6 +53,11 @@
 DEFINE_int64(states, 400000, "states that the explorer visits at most, for each case");
 DEFINE_bool(trace, false, "print what a scenario did even if it passed");
 DEFINE_string(log, "warning", "lowest level of events to log: debug, info, warning or error");
+DEFINE_string(program, "", "path of the rattanshunt binary, for soak; beside this one if empty");
+DEFINE_string(directory, "", "folder for settings and logs, for soak; a temporary one if empty");
+DEFINE_int32(seeds, 1, "soaks one after another, with seeds from --seed on");
+DEFINE_int32(daemons, 3, "processes, for soak");
+DEFINE_int32(callers, 8, "callers, for soak");
 DEFINE_bool(json, false, "print JSON");
 
 namespace {
@@ -268,8 +277,36 @@
     return wrong ? 1 : 0;
 }
 
+int runSoak(net::Loop& loop)
+{
+    namespace fs = std::filesystem;
+    int failed = 0;
+    for (int i = 0; i < FLAGS_seeds; ++i) {
+        lab::SoakOptions options;
+        options.seed = static_cast<uint64_t>(FLAGS_seed + i);
+        options.length = base::Seconds(static_cast<int64_t>(FLAGS_seconds));
+        options.daemons = FLAGS_daemons;
+        options.callers = FLAGS_callers;
+        options.program = FLAGS_program.empty()
+            ? (fs::read_symlink("/proc/self/exe").parent_path() / "rattanshunt").string()
+            : FLAGS_program;
+        fs::path root
+            = FLAGS_directory.empty() ? fs::temp_directory_path() / "rattanshunt-soak" : fs::path(FLAGS_directory);
+        options.directory = (root / fmt::format("{}-{}", getpid(), options.seed)).string();
+        lab::SoakResult result = lab::soakRun(loop, options);
+        std::cout << lab::soakText(options, result) << std::flush;
+        if (result.violations.empty())
+            fs::remove_all(options.directory);
+        else
+            std::cout << "  logs in " << options.directory << std::endl;
+        failed += result.violations.empty() ? 0 : 1;
+    }
+    std::cout << FLAGS_seeds - failed << " passed, " << failed << " failed\n";
+    return failed ? 1 : 0;
+}
+
 constexpr const char* usageText = "rattanshunt-lab platform | engine | service | load | scenario | verdict | bench "
-                                  "NAME... [flags]; --help lists the flags\n";
+                                  "NAME... | explore | golden | soak [flags]; --help lists the flags\n";
 
 } // namespace
 
@@ -281,7 +318,7 @@
     s_words.assign(argv + std::min(argc, 2), argv + argc);
     std::map<std::string, int (*)(net::Loop&)> commands = { { "platform", runPlatform }, { "engine", runEngine },
         { "service", runService }, { "load", runLoad }, { "scenario", runScenarios }, { "verdict", runVerdict },
-        { "bench", runBench }, { "explore", runExplore }, { "golden", runGolden } };
+        { "bench", runBench }, { "explore", runExplore }, { "golden", runGolden }, { "soak", runSoak } };
     auto found = commands.find(command);
     if (found == commands.end()) {
         std::cerr << usageText;
--- a/src/base/Text.cpp
+++ b/src/base/Text.cpp
@@ -95,8 +95,8 @@
     std::string packed(sizeof(uint64_t) + size, '\0');
     uint64_t length = bytes.size();
     std::memcpy(packed.data(), &length, sizeof(length));
-    compress2(reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size, bytesOf(bytes), bytes.size(),
-        Z_BEST_SPEED);
+    compress2(
+        reinterpret_cast<Bytef*>(packed.data() + sizeof(length)), &size, bytesOf(bytes), bytes.size(), Z_BEST_SPEED);
     packed.resize(sizeof(length) + size);
     return packed;
 }
--- a/src/base/Text.h
+++ b/src/base/Text.h
@@ -13,8 +13,8 @@
 std::string hexEncode(std::string_view bytes);                  // lower case
 std::string base64Encode(std::string_view bytes);               // with padding
 std::optional<std::string> base64Decode(std::string_view text); // nothing if `text` is malformed
-std::string compress(std::string_view bytes);                     // by zlib, with the length before it
-std::optional<std::string> decompress(std::string_view bytes);    // nothing if malformed or over 64 MiB
+std::string compress(std::string_view bytes);                   // by zlib, with the length before it
+std::optional<std::string> decompress(std::string_view bytes);  // nothing if malformed or over 64 MiB
 bool isValidUtf8(std::string_view text);
 
 // ---- Digests ---------------------------------------------------------------------------------
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -25,15 +25,15 @@
 namespace {
 
     constexpr base::Millis logInterval { 100 };
-    constexpr base::Millis fileInterval { 1000 };  // between two looks at the settings file
-    constexpr base::Millis balancerTime { 2500 };  // until two probes, one a second, have taken this daemon out
+    constexpr base::Millis fileInterval { 1000 }; // between two looks at the settings file
+    constexpr base::Millis balancerTime { 2500 }; // until two probes, one a second, have taken this daemon out
     constexpr base::Millis drainPoll { 20 };
-    constexpr base::Millis exitMargin { 300 };     // before the end of the grace time
-    constexpr base::Millis revokeMargin { 200 };   // before the limit on the age of configuration
-    constexpr double denyPart = 0.9;               // of the time for changes, up to which unknown routes are refused
+    constexpr base::Millis exitMargin { 300 };   // before the end of the grace time
+    constexpr base::Millis revokeMargin { 200 }; // before the limit on the age of configuration
+    constexpr double denyPart = 0.9;             // of the time for changes, up to which unknown routes are refused
 
-    constexpr double strongCpuShare = 0.5;  // of a core, from which on a daemon makes a good hub
-    constexpr double strongLinkMbps = 200;  // of its link
+    constexpr double strongCpuShare = 0.5; // of a core, from which on a daemon makes a good hub
+    constexpr double strongLinkMbps = 200; // of its link
 
     std::string readFile(const std::string& path)
     {
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -18,8 +18,8 @@
             directory.removed[id] = ++directory.stamp;
     }
 
-    void applyEntry(Directory& directory, const gateway::Dialect& dialect, const RawEntry& raw,
-        std::vector<EntryFault>& faults)
+    void applyEntry(
+        Directory& directory, const gateway::Dialect& dialect, const RawEntry& raw, std::vector<EntryFault>& faults)
     {
         RawEntry& known = directory.raw[raw.key];
         if (known.revision > raw.revision)
@@ -103,8 +103,8 @@
     return faults;
 }
 
-bool directoryApplyReport(Directory& directory, const std::string& id, const gateway::ReplicaReport& report,
-    base::BootTime askedAt)
+bool directoryApplyReport(
+    Directory& directory, const std::string& id, const gateway::ReplicaReport& report, base::BootTime askedAt)
 {
     auto found = directory.replicas.find(id);
     if (found == directory.replicas.end() || found->second.entry.bornMillis != report.bornMillis)
@@ -125,8 +125,7 @@
     return replica.hasReport ? replica.report.models : replica.entry.models;
 }
 
-bool replicaHolds(
-    const Replica& replica, const std::string& model, const std::string& adapter, base::BootTime now)
+bool replicaHolds(const Replica& replica, const std::string& model, const std::string& adapter, base::BootTime now)
 {
     for (const ComingModel& coming : replica.coming) {
         if (coming.model == model && coming.isSure && now >= coming.readyAt && adapter.empty())
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -32,12 +32,12 @@
 
 struct Replica {
     gateway::ReplicaEntry entry;
-    int64_t revision = 0;                // of the entry in the store
-    uint64_t stamp = 0;                  // of the last change that callers' side must know
-    bool isLapsed = false;               // the entry vanished around an outage of the store
-    bool hasReport = false;              //
-    gateway::ReplicaReport report;       // the newest, if `hasReport`
-    base::BootTime reportAt {};          // when it was asked for
+    int64_t revision = 0;          // of the entry in the store
+    uint64_t stamp = 0;            // of the last change that callers' side must know
+    bool isLapsed = false;         // the entry vanished around an outage of the store
+    bool hasReport = false;        //
+    gateway::ReplicaReport report; // the newest, if `hasReport`
+    base::BootTime reportAt {};    // when it was asked for
 
     // From whoever gives the orders; beside the report, which lags.
     std::optional<std::vector<gateway::HeldModel>> placed; // what may be used now
@@ -51,10 +51,10 @@
 };
 
 struct Directory {
-    std::map<std::string, Replica> replicas;          // by identifier
-    std::map<std::string, RawEntry> raw;              // by key, as read
-    std::map<std::string, uint64_t> removed;          // identifiers that are gone, by stamp
-    uint64_t stamp = 0;                               // rises with each change
+    std::map<std::string, Replica> replicas; // by identifier
+    std::map<std::string, RawEntry> raw;     // by key, as read
+    std::map<std::string, uint64_t> removed; // identifiers that are gone, by stamp
+    uint64_t stamp = 0;                      // rises with each change
 };
 
 // Entries that lapsed in an outage are back about two seconds after it, if their replicas live.
--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -153,7 +153,8 @@
         bool isSynced = m_hub && m_hub->name != m_options.name && m_peers && syncWith(m_hub->address, true);
         if (m_hubAnswers != isSynced)
             base::logEvent(LogLevel::Info, isSynced ? "hub.reached" : "hub.lost",
-                { { "hub", m_hub ? m_hub->name : "" }, { "knowledge_age_ms", ageMillis(BootClock::now(), m_provenAt) } });
+                { { "hub", m_hub ? m_hub->name : "" },
+                    { "knowledge_age_ms", ageMillis(BootClock::now(), m_provenAt) } });
         m_hubAnswers = isSynced;
         if (isSynced && BootClock::now() - m_provenAt < m_options.staleAge) {
             pause(m_isAwaitingModel && m_isAwaitingModel() ? m_options.awaitInterval : syncPause());
@@ -169,7 +170,9 @@
         campaign();
         if (!m_isHub && !m_isStopping) {
             bool isStarting = hasRead && !m_hub;
-            net::sleepFor(isStarting ? startInterval : m_hub && hasRead && !m_hubAnswers ? startInterval * 2 : m_options.directInterval);
+            net::sleepFor(isStarting                    ? startInterval
+                    : m_hub && hasRead && !m_hubAnswers ? startInterval * 2
+                                                        : m_options.directInterval);
         }
     }
 }
@@ -296,7 +299,8 @@
         return;
     }
     base::logEvent(LogLevel::Info, "configuration.in_force",
-        { { "version", configuration->version }, { "revision", revision }, { "routes", configuration->routes.size() } });
+        { { "version", configuration->version }, { "revision", revision },
+            { "routes", configuration->routes.size() } });
     m_configuration = configuration;
     notify();
 }
@@ -719,9 +723,8 @@
         found->second.placed = std::move(models);
         found->second.coming.clear();
         for (const Json& coming : row.at(3))
-            found->second.coming.push_back(
-                { coming.at(0).get<std::string>(), askedAt + base::Millis(coming.at(1).get<int64_t>()),
-                    coming.at(2).get<bool>() });
+            found->second.coming.push_back({ coming.at(0).get<std::string>(),
+                askedAt + base::Millis(coming.at(1).get<int64_t>()), coming.at(2).get<bool>() });
         found->second.stamp = ++m_directory.stamp;
     }
     for (const Json& row : body.at("loads")) {
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -16,8 +16,9 @@
 //   rs/fleet     {members}, without a lease: how many daemons share the fleet's budgets, for those that have no hub
 //   rs/secret    the secret by which daemons know each other, written once
 //
-// Q: Why a full read and no watch?  A: A read proves freshness and survives lost history; a silent watch proves nothing.
-// Q: What does a daemon do while the store is away?  A: It serves on what it knows up to the age limit; replicas whose
+// Q: Why a full read and no watch?  A: A read proves freshness and survives lost history; a silent watch proves
+// nothing. Q: What does a daemon do while the store is away?  A: It serves on what it knows up to the age limit;
+// replicas whose
 //    entries lapse meanwhile stay, see directory/Directory.h.
 //
 // Own thread only.
@@ -46,28 +47,28 @@
     std::string name;
     std::string dataCenter;
     base::Address peerAddress;
-    double strength = 1;                 // 0 to 1, of processor and link: strong daemons become hub first
-    base::Millis readInterval { 600 };   // between two reads of the store by the hub
-    base::Millis directInterval { 900 }; // by a daemon without a hub
-    base::Millis syncInterval { 300 };   // between two calls to the hub, without urgent news, in a small fleet
+    double strength = 1;                   // 0 to 1, of processor and link: strong daemons become hub first
+    base::Millis readInterval { 600 };     // between two reads of the store by the hub
+    base::Millis directInterval { 900 };   // by a daemon without a hub
+    base::Millis syncInterval { 300 };     // between two calls to the hub, without urgent news, in a small fleet
     base::Millis syncIntervalMost { 600 }; // in a large one; what changes must be known within the platform's bounds
-    size_t syncMembers = 40;             // members that the hub answers at `syncInterval`; more ask less often
-    base::Millis urgentInterval { 60 };  // between two calls with urgent news
-    base::Millis awaitInterval { 120 };  // while a request waits for a model
-    base::Millis syncTime { 500 };       // for one call to the hub
-    base::Millis leaseTime { 1600 };     // of the hub; a dead hub is replaced after it
-    base::Millis orderGap { 3000 };      // between the last order of one hub and the first of another
-    base::Millis staleAge { 1600 };      // age of the hub's knowledge beyond which a daemon reads the store itself
-    size_t membersAssumed = 100;         // until a hub has told: parts of the fleet's budgets must not be too large
-    double quotaSlack = 0;               // tokens that the fleet may grant beyond an account's burst
+    size_t syncMembers = 40;               // members that the hub answers at `syncInterval`; more ask less often
+    base::Millis urgentInterval { 60 };    // between two calls with urgent news
+    base::Millis awaitInterval { 120 };    // while a request waits for a model
+    base::Millis syncTime { 500 };         // for one call to the hub
+    base::Millis leaseTime { 1600 };       // of the hub; a dead hub is replaced after it
+    base::Millis orderGap { 3000 };        // between the last order of one hub and the first of another
+    base::Millis staleAge { 1600 };        // age of the hub's knowledge beyond which a daemon reads the store itself
+    size_t membersAssumed = 100;           // until a hub has told: parts of the fleet's budgets must not be too large
+    double quotaSlack = 0;                 // tokens that the fleet may grant beyond an account's burst
 };
 
 // Requests of one kind, as one daemon sees them.
 struct Demand {
-    double waiting = 0;  // requests that wait for a replica now
-    double worth = 0;    // the sum of their weights
-    double reading = 0;  // requests that a replica has and has not begun to answer, now
-    double rate = 0;     // arrivals a second, smoothed
+    double waiting = 0; // requests that wait for a replica now
+    double worth = 0;   // the sum of their weights
+    double reading = 0; // requests that a replica has and has not begun to answer, now
+    double rate = 0;    // arrivals a second, smoothed
 };
 
 struct DemandKey {
@@ -219,23 +220,23 @@
 
     std::optional<HubRecord> m_hub;
     bool m_hubAnswers = false;
-    std::string m_hubStart;       // whose stamps the directory follows
+    std::string m_hubStart; // whose stamps the directory follows
     uint64_t m_hubStamp = 0;
     base::BootTime m_hubMissingSince {};
     std::map<std::string, base::Address> m_memberAddresses; // last told by the hub
-    size_t m_memberCount = 0; // 0: not known yet
-    size_t m_membersStored = 0;   // as in the store
-    base::BootTime m_hubSince {}; // of this daemon as hub
+    size_t m_memberCount = 0;                               // 0: not known yet
+    size_t m_membersStored = 0;                             // as in the store
+    base::BootTime m_hubSince {};                           // of this daemon as hub
 
     bool m_isHub = false;
     int64_t m_lease = 0;
     base::BootTime m_leaseUntil {};
     int64_t m_fencingToken = 0;
     base::BootTime m_ordersFrom {};
-    std::map<std::string, HubMember> m_members; // hub only
+    std::map<std::string, HubMember> m_members;   // hub only
     std::map<ModelKey, base::BootTime> m_outlook; // as told by the hub: estimates
     base::BootTime m_ratesSentAt {};
-    quota::GrantBook m_grantBook;               // hub only
+    quota::GrantBook m_grantBook; // hub only
     quota::LocalGrants m_grants;
 };
 
--- a/src/gateway/Channels.h
+++ b/src/gateway/Channels.h
@@ -17,10 +17,10 @@
 namespace rattanshunt::gateway {
 
 struct ChannelOptions {
-    base::Millis idleMost { 20000 };   // after which a connection is closed, unless the replica names a shorter time
+    base::Millis idleMost { 20000 };    // after which a connection is closed, unless the replica names a shorter time
     base::Millis onceIdleMost { 1500 }; // for a request that may run only once
-    base::Millis idleMargin { 1000 };  // before the replica's own limit
-    size_t idleEach = 8;               // connections kept for one replica
+    base::Millis idleMargin { 1000 };   // before the replica's own limit
+    size_t idleEach = 8;                // connections kept for one replica
 };
 
 class Channels {
--- a/src/gateway/Configuration.h
+++ b/src/gateway/Configuration.h
@@ -39,13 +39,13 @@
     std::string prefix; // of the path; begins and ends with a slash
     RepeatKind repeat = RepeatKind::Once;
     bool isStream = false;
-    bool isPublic = false;                // needs no key
-    base::Millis timeout { 30000 };       // longest time to an answer
-    base::Millis targetLatency { 1000 };  // to the first byte that counts
-    base::Millis targetGap { 0 };         // longest pause between events of a stream that is on time
-    int priority = 5;                     // 0 is served first
-    int maxAttempts = 1;                  // replicas that one request may be sent to
-    std::vector<ServiceWeight> services;  // shares of the traffic
+    bool isPublic = false;               // needs no key
+    base::Millis timeout { 30000 };      // longest time to an answer
+    base::Millis targetLatency { 1000 }; // to the first byte that counts
+    base::Millis targetGap { 0 };        // longest pause between events of a stream that is on time
+    int priority = 5;                    // 0 is served first
+    int maxAttempts = 1;                 // replicas that one request may be sent to
+    std::vector<ServiceWeight> services; // shares of the traffic
 };
 
 struct ModelSpec {
@@ -61,9 +61,9 @@
 // What all replicas of an engine service have in common.
 struct Engine {
     double slots = 1;
-    double kvTokens = 0;       // memory for running and cached tokens
-    double weightsMb = 0;      // memory for weights and adapters
-    size_t adapterPlaces = 0;  //
+    double kvTokens = 0;            // memory for running and cached tokens
+    double weightsMb = 0;           // memory for weights and adapters
+    size_t adapterPlaces = 0;       //
     double storeLoadsPerSecond = 1; // of weights, over all replicas
     std::map<std::string, ModelSpec> models;
 };
@@ -76,7 +76,7 @@
 
 struct Account {
     std::string name;
-    int priority = -1;     // replaces the route's if not negative
+    int priority = -1; // replaces the route's if not negative
     bool countsTokens = false;
     double plainTokens = 1; // cost of a request that names no tokens
     double rate = 0;        // a second; 0: not limited
--- a/src/gateway/Dialect.h
+++ b/src/gateway/Dialect.h
@@ -30,15 +30,15 @@
 struct RequestHead {
     std::string id;
     std::string host;
-    std::string key;              // of the client account; empty: none was sent
-    std::string model;            // empty: not for an engine
-    std::string adapter;          // of the model; empty: none
+    std::string key;     // of the client account; empty: none was sent
+    std::string model;   // empty: not for an engine
+    std::string adapter; // of the model; empty: none
     std::vector<PromptPart> prompt;
     std::optional<double> tokens; // prompt and most output together, if the caller names them
     double promptTokens = 0;
-    double outputTokens = 0;      // most that the caller takes
+    double outputTokens = 0;              // most that the caller takes
     std::optional<base::Millis> timeLeft; // that the caller will wait
-    std::string lastEventId;      // the caller continues a stream after this event; empty: from the start
+    std::string lastEventId;              // the caller continues a stream after this event; empty: from the start
 };
 
 // What the system adds to a request on its way to one replica.
@@ -96,7 +96,7 @@
     std::vector<std::string> comingAdapters; // MODEL/ADAPTER, on their way
     std::vector<std::string> inMemory;       // models whose weights are in host memory
     std::vector<std::string> onDisk;
-    bool isBusy = false;                     // with an order
+    bool isBusy = false; // with an order
     int64_t ordersTaken = 0;
     double running = 0;
     double waiting = 0;
@@ -107,7 +107,7 @@
 struct ModelOrder {
     bool isLoad = true; // else unload
     std::string model;
-    std::string adapter; // empty: the model itself
+    std::string adapter;        // empty: the model itself
     int64_t expectedOrders = 0; // orders that the replica has taken before this one
     std::string holder;
     int64_t fencingToken = 0;
@@ -129,8 +129,8 @@
     std::function<net::HttpRequest(const net::HttpRequest&, const AttemptTarget&)> writeAttempt;
     std::function<AnswerHead(const net::HttpResponse&, const std::string& requestId)> readAnswer;
     std::function<std::vector<net::HttpHeader>(const net::HttpResponse&)> answerHeaders; // to pass on to the caller
-    std::function<net::HttpResponse(int status, std::string_view reason, std::optional<base::Millis> retryAfter,
-        const std::string& requestId)>
+    std::function<net::HttpResponse(
+        int status, std::string_view reason, std::optional<base::Millis> retryAfter, const std::string& requestId)>
         ownAnswer;
 
     // Nothing if the value can't be read; `fault` names the field.
--- a/src/gateway/Events.h
+++ b/src/gateway/Events.h
@@ -12,9 +12,9 @@
 
 // What has come of a stream, over all replicas that produced it.
 struct EventSplitter {
-    std::string partial;    // the beginning of an event
-    std::string lastId;     // of the last whole event that was passed on; empty: none yet
-    uint64_t passed = 0;    // whole events
+    std::string partial; // the beginning of an event
+    std::string lastId;  // of the last whole event that was passed on; empty: none yet
+    uint64_t passed = 0; // whole events
 };
 
 // Takes in bytes and gives all whole events in them, as they came. An event whose number is not above the last one's
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -125,8 +125,8 @@
 
 void Gateway::decayRates(BootTime now)
 {
-    double decay = std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_ratesAt))
-        / base::secondsOf(m_options.rateTime));
+    double decay = std::exp(
+        -base::secondsOf(std::max(BootClock::duration(0), now - m_ratesAt)) / base::secondsOf(m_options.rateTime));
     for (auto& [key, rate] : m_rates)
         rate *= decay;
     std::erase_if(m_rates, [](auto& item) { return item.second < rateLeast; });
@@ -170,8 +170,7 @@
             { "took_ms", millisSince(now, session.arrivedAt) }, { "left_ms", millisSince(session.deadline, now) },
             { "waited_ms", base::millisOf(session.waited) },
             { "first_ms", session.events.passed ? millisSince(session.firstEventAt, session.arrivedAt) : -1 },
-            { "longest_gap_ms", base::millisOf(session.longestGap) },
-            { "tokens", session.tokens },
+            { "longest_gap_ms", base::millisOf(session.longestGap) }, { "tokens", session.tokens },
             { "attempts", session.progress.attemptsSent }, { "events", session.events.passed },
             { "version", session.configuration ? session.configuration->version : 0 },
             { "knowledge_age_ms", millisSince(now, m_fabric.provenAt()) } });
@@ -348,8 +347,7 @@
     ChoiceRequest request { affinityOf(session.head), base::stableHash(session.head.id) };
     request.isLong = session.head.promptTokens >= m_options.longPrompt;
     request.group = isEngine ? base::stableHash(session.head.model) | 1 : 0;
-    auto chosen
-        = replicaChoose(views, request, isEngine ? m_options.engineChoice : m_options.plainChoice);
+    auto chosen = replicaChoose(views, request, isEngine ? m_options.engineChoice : m_options.plainChoice);
     return chosen ? replicas[*chosen] : nullptr;
 }
 
@@ -374,8 +372,7 @@
 }
 
 // Waits for a replica that can take the request. Null with a reason if none comes. Suspends.
-const directory::Replica* Gateway::awaitReplica(
-    Session& session, const std::set<std::string>& tried, Refusal& refusal)
+const directory::Replica* Gateway::awaitReplica(Session& session, const std::set<std::string>& tried, Refusal& refusal)
 {
     BootTime since = BootClock::now();
     bool isHurried = false;
@@ -456,7 +453,9 @@
         use.ownThen = use.ownNow;
     }
     double trouble = troubleOf(use, now);
-    use.trouble = result.isTrouble && !session.isGone ? trouble + 1 : result.end == AttemptEnd::Whole ? trouble * 0.6 : trouble;
+    use.trouble = result.isTrouble && !session.isGone ? trouble + 1
+        : result.end == AttemptEnd::Whole             ? trouble * 0.6
+                                                      : trouble;
     base::counterAddLabelled("attempts_total", "end", result.why);
     if (result.end != AttemptEnd::Whole)
         base::logEvent(LogLevel::Info, "request.attempt",
@@ -502,8 +501,7 @@
     }
 }
 
-void Gateway::finish(
-    Session& session, NextStep step, const AttemptResult& last, std::optional<base::Millis> retryAfter)
+void Gateway::finish(Session& session, NextStep step, const AttemptResult& last, std::optional<base::Millis> retryAfter)
 {
     if (session.isGone) {
         note(session, 0, "caller_gone", last.why);
@@ -515,7 +513,8 @@
         if (session.route->isStream)
             session.exchange.finishStream();
         else
-            session.exchange.respond({ last.response.status, m_dialect.answerHeaders(last.response), last.response.body });
+            session.exchange.respond(
+                { last.response.status, m_dialect.answerHeaders(last.response), last.response.body });
         note(session, last.response.status, "served", "");
         return;
     case NextStep::PassFailure:
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -28,14 +28,14 @@
 // ---- [1] Options -------------------------------------------------------------------------------
 
 struct GatewayOptions {
-    base::Millis revokeLimit { 4800 };   // age of configuration up to which keys are trusted
-    base::Millis denyLimit { 1800 };     // age up to which an unknown route or key is refused for good
-    base::Millis retryAfter { 300 };     // when a refused caller may come back, if nothing better is known
-    double longPrompt = 2500;            // tokens from which on reading a prompt delays others
-    base::Millis drainWait { 1000 };     // that a request may wait for a replica while the process stops
-    base::Seconds rateTime { 10 };       // over which arrivals are smoothed
+    base::Millis revokeLimit { 4800 }; // age of configuration up to which keys are trusted
+    base::Millis denyLimit { 1800 };   // age up to which an unknown route or key is refused for good
+    base::Millis retryAfter { 300 };   // when a refused caller may come back, if nothing better is known
+    double longPrompt = 2500;          // tokens from which on reading a prompt delays others
+    base::Millis drainWait { 1000 };   // that a request may wait for a replica while the process stops
+    base::Seconds rateTime { 10 };     // over which arrivals are smoothed
     WaitOptions waiting;
-    base::Millis sweepInterval { 1000 }; // between two looks for idle connections
+    base::Millis sweepInterval { 1000 };   // between two looks for idle connections
     base::Millis troubleHalfLife { 2500 }; // of a replica's failures
     RepeatBudgetOptions repeats;
     ReplicaChoiceOptions engineChoice;
@@ -51,15 +51,15 @@
 
     // -- commands --
     bool listen(const base::Address&, std::string& error);
-    // Answers end their connections from now on. A request that has waited long for a replica is refused, so that it can
-    // be served elsewhere.
+    // Answers end their connections from now on. A request that has waited long for a replica is refused, so that it
+    // can be served elsewhere.
     void beginDrain();
     void stopAccepting(); // closes idle connections too
     void closeAll();
     void reconfigure(const GatewayOptions&); // for what begins from now on
 
     // -- queries --
-    fabric::DemandTable demand(); // of this daemon, now
+    fabric::DemandTable demand();                               // of this daemon, now
     base::Address address() const { return m_server->address; } // as bound; valid once it listens
     size_t underWay() const { return m_sessions.size(); }
     bool isDraining() const { return m_isDraining; }
@@ -108,9 +108,9 @@
     std::optional<net::HttpServerHandle> m_server;
     std::set<Session*> m_sessions;
     std::set<Session*> m_waiting;
-    std::map<std::string, ReplicaUse> m_uses;        // by replica
-    std::map<std::string, RepeatBudget> m_repeats;   // by service
-    std::map<fabric::DemandKey, double> m_rates;     // arrivals a second, as of m_ratesAt
+    std::map<std::string, ReplicaUse> m_uses;      // by replica
+    std::map<std::string, RepeatBudget> m_repeats; // by service
+    std::map<fabric::DemandKey, double> m_rates;   // arrivals a second, as of m_ratesAt
     base::BootTime m_ratesAt {};
     bool m_isDraining = false;
 };
--- a/src/gateway/RepeatBudget.h
+++ b/src/gateway/RepeatBudget.h
@@ -17,10 +17,10 @@
 namespace rattanshunt::gateway {
 
 struct RepeatBudgetOptions {
-    double ratio = 0.2;            // repeats for each request, in any window
-    double extra = 100;            // repeats beyond that in a window, of the whole fleet
+    double ratio = 0.2; // repeats for each request, in any window
+    double extra = 100; // repeats beyond that in a window, of the whole fleet
     base::Seconds window { 10 };
-    double safety = 0.75;          // part of both that is used: requests of the window may end late
+    double safety = 0.75; // part of both that is used: requests of the window may end late
 };
 
 // For one service.
--- a/src/gateway/ReplicaChoice.h
+++ b/src/gateway/ReplicaChoice.h
@@ -29,13 +29,13 @@
 struct ReplicaView {
     std::string_view id;
     double slots = 1;
-    double reported = 0;           // requests running and waiting there at the last report
-    double ownNow = 0;             // of this daemon, under way now
-    double ownThen = 0;            // of this daemon, under way at that report
+    double reported = 0; // requests running and waiting there at the last report
+    double ownNow = 0;   // of this daemon, under way now
+    double ownThen = 0;  // of this daemon, under way at that report
     base::Duration reportAge { 0 };
-    double ownUnread = 0;          // of this daemon's, those whose prompt is still being read
-    double trouble = 0;            // recent failures, decaying
-    bool isAway = false;           // in another data centre
+    double ownUnread = 0; // of this daemon's, those whose prompt is still being read
+    double trouble = 0;   // recent failures, decaying
+    bool isAway = false;  // in another data centre
 };
 
 struct ChoiceRequest {
@@ -54,20 +54,20 @@
     double unreadCost = 0.04;            // of the slots, for each prompt that is being read
     double otherGroupCost = 0.2;         // of the slots, for a replica of the other group
     double shortPart = 0.34;             // of a model's replicas, that serve short prompts first
-    size_t groupsFrom = 1000;               // replicas of a model from which on they are told apart
+    size_t groupsFrom = 1000;            // replicas of a model from which on they are told apart
     double troubleMost = 3;              // failures at which a replica is used only if no other is left
 };
 
 // ---- [2] Decisions -----------------------------------------------------------------------------
 
 // Which of a model's replicas are for short prompts; all of them while there are few.
-std::vector<bool> replicasForShort(const std::vector<std::string_view>& ids, uint64_t group, const ReplicaChoiceOptions&);
+std::vector<bool> replicasForShort(
+    const std::vector<std::string_view>& ids, uint64_t group, const ReplicaChoiceOptions&);
 
 // Requests for each slot.
 double replicaLoad(const ReplicaView&, const ReplicaChoiceOptions&);
 
 // Index of the replica to use, or nothing if all are full.
-std::optional<size_t> replicaChoose(
-    const std::vector<ReplicaView>&, const ChoiceRequest&, const ReplicaChoiceOptions&);
+std::optional<size_t> replicaChoose(const std::vector<ReplicaView>&, const ChoiceRequest&, const ReplicaChoiceOptions&);
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/RequestPlan.cpp
+++ b/src/gateway/RequestPlan.cpp
@@ -22,7 +22,7 @@
         return NextStep::Deliver;
     case AttemptEnd::NotRun:
         return mayRepeat && progress.attemptsSent < progress.maxAttempts + refusalsMost ? NextStep::Repeat
-                                                                                         : stepWithoutReplica(progress);
+                                                                                        : stepWithoutReplica(progress);
     case AttemptEnd::RanFailed:
         if (progress.hasPassedHead)
             return NextStep::Cut;
--- a/src/gateway/RequestPlan.h
+++ b/src/gateway/RequestPlan.h
@@ -37,9 +37,9 @@
 
 struct RequestProgress {
     RepeatKind repeat = RepeatKind::Once;
-    int attemptsRun = 0;      // attempts that may have run
-    int attemptsSent = 0;     // attempts that reached a replica, refused ones too
-    int maxAttempts = 1;      //
+    int attemptsRun = 0;        // attempts that may have run
+    int attemptsSent = 0;       // attempts that reached a replica, refused ones too
+    int maxAttempts = 1;        //
     bool hasPassedHead = false; // the caller has got the head of a stream
 };
 
--- a/src/gateway/Session.cpp
+++ b/src/gateway/Session.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    constexpr base::Millis answerSlack { 60 };   // beyond the deadline, for a replica's own word on it
-    constexpr size_t foreignAnswersMost = 2;     // late answers to other requests that are read past
+    constexpr base::Millis answerSlack { 60 }; // beyond the deadline, for a replica's own word on it
+    constexpr size_t foreignAnswersMost = 2;   // late answers to other requests that are read past
     constexpr size_t plainBodyMost = 16 * 1024 * 1024;
 
     AttemptResult ended(AttemptEnd end, const char* why, bool isTrouble)
@@ -151,8 +151,7 @@
     std::optional<base::Seconds> idleLimit;
     bool mayKeep = false;
     base::Millis left = sessionTimeLeft(session, BootClock::now());
-    if (!wasReused
-        && connection->connect(base::Clock::now() + std::min(connectTime, left)) != HttpCallError::None) {
+    if (!wasReused && connection->connect(base::Clock::now() + std::min(connectTime, left)) != HttpCallError::None) {
         session.connection = nullptr;
         return ended(AttemptEnd::NotRun, "connect_failed", !session.isGone);
     }
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -27,33 +27,33 @@
     const Service* service = nullptr; //
     std::string account {};           // name; empty on public routes
     int urgency = 5;
-    double tokens = 1;                // cost to the account
-    double weight = 1;                // of its wait, beside others
+    double tokens = 1; // cost to the account
+    double weight = 1; // of its wait, beside others
     base::BootTime arrivedAt {};
-    base::BootTime deadline {};       // the caller's or the route's, whichever is earlier
-    base::BootTime patienceEnd {};    // by when the first byte must come, or the caller leaves
+    base::BootTime deadline {};    // the caller's or the route's, whichever is earlier
+    base::BootTime patienceEnd {}; // by when the first byte must come, or the caller leaves
     RequestProgress progress {};
     EventSplitter events {};
-    bool isAwaitingModel = false;     // waits, and no replica holds the model
-    bool isGone = false;              // the caller has left
-    base::Duration waited { 0 };      // for a replica, over all attempts
-    base::BootTime firstEventAt {};   // of a stream: when it was passed on
-    base::BootTime lastEventAt {};    //
-    base::Duration longestGap { 0 };  // between two of its events
+    bool isAwaitingModel = false;              // waits, and no replica holds the model
+    bool isGone = false;                       // the caller has left
+    base::Duration waited { 0 };               // for a replica, over all attempts
+    base::BootTime firstEventAt {};            // of a stream: when it was passed on
+    base::BootTime lastEventAt {};             //
+    base::Duration longestGap { 0 };           // between two of its events
     net::HttpConnection* connection = nullptr; // to the replica, while an attempt runs
-    std::function<void()> onFirstByte {}; // called once for each attempt, at its end at the latest
-    net::Event wake {};               // something that the request waits for may have changed
+    std::function<void()> onFirstByte {};      // called once for each attempt, at its end at the latest
+    net::Event wake {};                        // something that the request waits for may have changed
 };
 
 struct AttemptResult {
     AttemptEnd end = AttemptEnd::Unknown;
     const char* why = "";
-    bool isTrouble = false;       // counts against the replica
-    bool wasMisdirected = false;  // the replica does not hold what was thought
-    net::HttpResponse response;   // for a failure of the replica's own, or a whole answer that is not a stream
+    bool isTrouble = false;      // counts against the replica
+    bool wasMisdirected = false; // the replica does not hold what was thought
+    net::HttpResponse response;  // for a failure of the replica's own, or a whole answer that is not a stream
     std::optional<AnswerHead::Load> load;
     base::Duration firstByte { 0 }; // from sending to the head of the answer
-    bool wasReused = false;       // the connection had served before
+    bool wasReused = false;         // the connection had served before
 };
 
 // Time to open a connection to a replica.
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -56,7 +56,8 @@
         auto found = std::find_if(held.begin(), held.end(), [&](const HeldModel& each) { return each.name == model; });
         if (found == held.end())
             found = held.insert(held.end(), HeldModel { model, {} });
-        if (!adapter.empty() && std::find(found->adapters.begin(), found->adapters.end(), adapter) == found->adapters.end())
+        if (!adapter.empty()
+            && std::find(found->adapters.begin(), found->adapters.end(), adapter) == found->adapters.end())
             found->adapters.push_back(adapter);
     }
 
@@ -134,8 +135,9 @@
 // Puts the smoothed number of requests without a first byte in the place of the momentary one, over all adapters.
 void Placer::smoothReading(fabric::DemandTable& demand, BootTime now)
 {
-    double part = 1 - std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_readingAt))
-        / base::secondsOf(m_options.readingTime));
+    double part = 1
+        - std::exp(-base::secondsOf(std::max(BootClock::duration(0), now - m_readingAt))
+            / base::secondsOf(m_options.readingTime));
     m_readingAt = now;
     std::map<fabric::ModelKey, double> momentary;
     for (auto& [key, row] : demand)
@@ -489,7 +491,8 @@
             return true;
         }
         if (answer == OrderAnswer::Accepted && order.isLoad) {
-            expectReady(job.replica, order.model, BootClock::now() + job.estimate + m_options.loadSlack, !job.fromStore);
+            expectReady(
+                job.replica, order.model, BootClock::now() + job.estimate + m_options.loadSlack, !job.fromStore);
             if (!job.fromStore) {
                 net::sleepFor(job.estimate + m_options.loadSlack);
                 return true;
--- a/src/models/Planner.cpp
+++ b/src/models/Planner.cpp
@@ -123,7 +123,8 @@
             auto heldSpec = engine.models.find(held->name);
             if (heldSpec == engine.models.end())
                 continue;
-            freeMb += heldSpec->second.weightsMb + heldSpec->second.adapterMb * static_cast<double>(held->adapters.size());
+            freeMb
+                += heldSpec->second.weightsMb + heldSpec->second.adapterMb * static_cast<double>(held->adapters.size());
             room.unload.push_back(held->name);
             room.cost += cost;
         }
@@ -186,7 +187,8 @@
                 continue;
             if (copies > 0 && rate / copies < planning.options.spareCopyRate)
                 continue;
-            double gain = copies == 0 ? (rate + planning.options.keepRate) * planning.options.lastCopyWeight : rate / copies;
+            double gain
+                = copies == 0 ? (rate + planning.options.keepRate) * planning.options.lastCopyWeight : rate / copies;
             if (gain > bestGain) {
                 bestGain = gain;
                 best = &spec;
@@ -253,8 +255,7 @@
             }
             double score = replica.load;
             std::optional<HeldModel> gone;
-            bool isFull = places >= engine.adapterPlaces
-                || usedMb(engine, replica) + spec.adapterMb > engine.weightsMb;
+            bool isFull = places >= engine.adapterPlaces || usedMb(engine, replica) + spec.adapterMb > engine.weightsMb;
             if (isFull) {
                 if (!leastAsked)
                     continue;
--- a/src/models/Planner.h
+++ b/src/models/Planner.h
@@ -7,9 +7,9 @@
 // Load pattern: a few models get most requests and keep several replicas busy; many rare ones are asked for now and
 // then, evenly, and do not all fit. When demand moves or replicas crash, many are missing at once. A model that is
 // waited for goes to the replica where it is ready soonest (host memory, disk, then the weight store) and where what
-// makes way is asked for least. Jobs go in the order of the worth that waits, since loads from the weight store are few.
-// Gains and costs are in requests that wait for their first byte at any moment (by Little's law, arrivals a second times
-// the time that each of them waits).
+// makes way is asked for least. Jobs go in the order of the worth that waits, since loads from the weight store are
+// few. Gains and costs are in requests that wait for their first byte at any moment (by Little's law, arrivals a second
+// times the time that each of them waits).
 //
 // Room that a crash or a new replica left is filled before it is asked for, from what is at hand first.
 //
@@ -29,12 +29,12 @@
 
 struct PlanReplica {
     std::string id;
-    bool isEngaged = false;                 // with a job
-    double load = 0;                        // requests running and waiting, for each slot
+    bool isEngaged = false; // with a job
+    double load = 0;        // requests running and waiting, for each slot
     std::vector<gateway::HeldModel> held;
-    std::set<std::string> coming;           // models that a job is bringing
-    std::set<std::string> inMemory;         // weights at hand in host memory
-    std::set<std::string> onDisk;           // weights at hand on disk
+    std::set<std::string> coming;   // models that a job is bringing
+    std::set<std::string> inMemory; // weights at hand in host memory
+    std::set<std::string> onDisk;   // weights at hand on disk
 };
 
 struct PlanInput {
@@ -51,20 +51,20 @@
     std::vector<std::string> unloadModels;
     std::vector<gateway::HeldModel> unloadAdapters;
     std::string model;
-    std::string adapter;     // empty: the model itself
-    bool fromStore = false;  //
+    std::string adapter;    // empty: the model itself
+    bool fromStore = false; //
     base::Millis estimate { 0 };
 };
 
 struct PlanOptions {
-    double readingMost = 1.5;    // requests for each copy that wait for their first byte, beyond which one more is wanted
-    double swapTime = 2.5;       // s to bring an unloaded model back from disk, unloading included
-    double swapCost = 0.1;       // of a swap as such, in the same unit as below
-    double adapterLoad = 0.5;    // load of all holders of an adapter beyond which it gets one more place
-    double lastCopyWeight = 4;   // how much more a model that nobody holds counts when free room is filled
-    double keepRate = 0.02;      // arrivals a second that a held model counts for at least
-    double gainRatio = 3.0;      // how much more a further copy must bring than what makes way costs
-    double spareCopyRate = 0.3;  // requests a second for each copy that fill free room with one more
+    double readingMost = 1.5;  // requests for each copy that wait for their first byte, beyond which one more is wanted
+    double swapTime = 2.5;     // s to bring an unloaded model back from disk, unloading included
+    double swapCost = 0.1;     // of a swap as such, in the same unit as below
+    double adapterLoad = 0.5;  // load of all holders of an adapter beyond which it gets one more place
+    double lastCopyWeight = 4; // how much more a model that nobody holds counts when free room is filled
+    double keepRate = 0.02;    // arrivals a second that a held model counts for at least
+    double gainRatio = 3.0;    // how much more a further copy must bring than what makes way costs
+    double spareCopyRate = 0.3; // requests a second for each copy that fill free room with one more
 };
 
 struct Plan {
--- a/src/models/StoreSpeed.h
+++ b/src/models/StoreSpeed.h
@@ -16,9 +16,9 @@
 };
 
 constexpr double storeSpeedMost = 64;
-constexpr double storeSpeedGain = 0.3;    // weight of one measured load
-constexpr double storeSpeedSlack = 1.25;  // times the usual time up to which a load counts as undisturbed
-constexpr double storeSpeedProbe = 0.25;  // by which an undisturbed load at the estimate raises it
+constexpr double storeSpeedGain = 0.3;   // weight of one measured load
+constexpr double storeSpeedSlack = 1.25; // times the usual time up to which a load counts as undisturbed
+constexpr double storeSpeedProbe = 0.25; // by which an undisturbed load at the estimate raises it
 
 // Takes in one finished load: the loads that ran beside it, itself included, and its time over the usual time.
 inline void storeSpeedNote(StoreSpeed& speed, double crowd, double slowness)
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -119,7 +119,8 @@
     static std::unique_ptr<HttpConnection> create(Loop&, const base::Address&);
     virtual ~HttpConnection() = default;
 
-    // Each call suspends until done or until `deadline`. The address is sent as Host unless the request names one. After an error other than None the connection is closed.
+    // Each call suspends until done or until `deadline`. The address is sent as Host unless the request names one.
+    // After an error other than None the connection is closed.
     virtual HttpCallError connect(base::TimePoint deadline) = 0;
     virtual HttpCallError send(const HttpRequest&, base::TimePoint deadline) = 0;
     virtual HttpCallError readHead(HttpResponse&, base::TimePoint deadline) = 0;
--- a/src/platform/KvClient.cpp
+++ b/src/platform/KvClient.cpp
@@ -134,8 +134,8 @@
 KvLeaseResult HttpKv::leaseGrant(base::Millis timeToLive)
 {
     base::Seconds seconds = std::chrono::ceil<base::Seconds>(timeToLive);
-    auto answer = m_impl->call(
-        "/v3/lease/grant", { { "TTL", std::to_string(seconds.count()) } }, m_impl->options.callTimeout);
+    auto answer
+        = m_impl->call("/v3/lease/grant", { { "TTL", std::to_string(seconds.count()) } }, m_impl->options.callTimeout);
     KvLeaseResult result { answer.error, 0, seconds };
     if (answer.error == KvError::None)
         result.lease = kvNumber(answer.body, "ID");
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -29,11 +29,12 @@
 constexpr double hubSlackPart = 0.6;
 constexpr double aloneSlackPart = 0.15;
 
-// Part of its capacity that an account's level must have for the account to count as calm: it keeps far below its limit.
+// Part of its capacity that an account's level must have for the account to count as calm: it keeps far below its
+// limit.
 constexpr double calmLevelPart = 0.4;
 
-// Time after the hub's last word for which a calm account is let through without it, up to `calmShares` times a member's
-// share of its rate over that time and of half of its burst: requests do not arrive at all daemons alike.
+// Time after the hub's last word for which a calm account is let through without it, up to `calmShares` times a
+// member's share of its rate over that time and of half of its burst: requests do not arrive at all daemons alike.
 constexpr base::Seconds calmTime { 5 };
 constexpr double calmShares = 3;
 
@@ -47,8 +48,8 @@
     // Part of the burst that an account starts with: less after a takeover, as grants are out and daemons have let
     // requests through without a hub.
     double startPart = 1;
-    double calmStartPart = 1;             // for accounts that were calm when the former hub was last heard
-    std::map<std::string, bool> wasCalm;  // by account, as far as known
+    double calmStartPart = 1;            // for accounts that were calm when the former hub was last heard
+    std::map<std::string, bool> wasCalm; // by account, as far as known
     struct Level {
         double tokens = 0;
         base::BootTime asOf {};
@@ -56,8 +57,8 @@
     std::map<std::string, Level> levels;
 };
 
-// Part of the burst that accounts start with at a hub that follows another one: the former hub's grants and what daemons
-// let through without a hub count in the same window.
+// Part of the burst that accounts start with at a hub that follows another one: the former hub's grants and what
+// daemons let through without a hub count in the same window.
 constexpr double successorStartPart = 0.1;
 constexpr double successorCalmPart = 0.8;
 
@@ -114,13 +115,13 @@
 
 struct LocalGrants {
     struct Share {
-        double granted = 0;       // tokens from the hub, not spent yet
-        double alone = 0;         // level of the allowance for when the hub can't be reached
-        double spent = 0;         // let through without the hub, to be told to the next one
+        double granted = 0; // tokens from the hub, not spent yet
+        double alone = 0;   // level of the allowance for when the hub can't be reached
+        double spent = 0;   // let through without the hub, to be told to the next one
         base::BootTime aloneAt {};
     };
     std::map<std::string, Share> shares;
-    std::map<std::string, bool> calm;  // by account, at the hub's last word
+    std::map<std::string, bool> calm; // by account, at the hub's last word
     base::BootTime hubWordAt {};
 };
 
@@ -140,7 +141,6 @@
     return true;
 }
 
-
 // Spends granted tokens; false if they do not cover the request.
 inline bool grantSpend(LocalGrants& grants, const std::string& account, double tokens)
 {
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -96,8 +96,8 @@
     settings.linkMbps = readPositive("link_mbps", FLAGS_link_mbps, 1e6, faults);
     settings.leaveTime = millis("leave_ms", FLAGS_leave_ms);
     settings.orderGap = millis("order_gap_ms", FLAGS_order_gap_ms);
-    settings.graceTime = base::Seconds(
-        static_cast<int64_t>(readPositive("grace_seconds", FLAGS_grace_seconds, 3600, faults)));
+    settings.graceTime
+        = base::Seconds(static_cast<int64_t>(readPositive("grace_seconds", FLAGS_grace_seconds, 3600, faults)));
     settings.repeatWindow = base::Seconds(
         static_cast<int64_t>(readPositive("repeat_window_seconds", FLAGS_repeat_window_seconds, 3600, faults)));
     settings.repeatRatio = readPositive("repeat_ratio", FLAGS_repeat_ratio, 100, faults);
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -23,8 +23,8 @@
     base::Address readyListen;
     base::Address metricsListen;
     base::Address store;
-    double cpuShare = 1;      // of a core
-    double linkMbps = 1000;   // of the instance's own link
+    double cpuShare = 1;    // of a core
+    double linkMbps = 1000; // of the instance's own link
 
     // May change.
     base::LogLevel logLevel = base::LogLevel::Info;
--- a/tests/GatewayDecisionTests.cpp
+++ b/tests/GatewayDecisionTests.cpp
@@ -21,8 +21,8 @@
 
 base::BootTime bootAt(double millis)
 {
-    return base::BootTime {} + base::Seconds(1000) + std::chrono::duration_cast<base::BootClock::duration>(
-               base::durationOf(millis / 1000));
+    return base::BootTime {} + base::Seconds(1000)
+        + std::chrono::duration_cast<base::BootClock::duration>(base::durationOf(millis / 1000));
 }
 
 } // namespace
@@ -96,8 +96,8 @@
             repeats.push_back(now);
         repeatForget(requests, now - options.window);
         repeatForget(repeats, now - options.window);
-        cr_assert_leq(static_cast<double>(repeats.size()),
-            options.ratio * static_cast<double>(requests.size()) + options.extra);
+        cr_assert_leq(
+            static_cast<double>(repeats.size()), options.ratio * static_cast<double>(requests.size()) + options.extra);
     }
     cr_assert_gt(repeats.size(), 100);
 }
@@ -471,8 +471,8 @@
 {
     Dialect dialect = platform::dialectCreate();
     directory::Directory directory;
-    std::vector<directory::RawEntry> list = { { "servers/a", entryText("ready", 1), 1 },
-        { "servers/b", entryText("draining", 1), 2 } };
+    std::vector<directory::RawEntry> list
+        = { { "servers/a", entryText("ready", 1), 1 }, { "servers/b", entryText("draining", 1), 2 } };
     directory::directoryApplyList(directory, dialect, list, false);
     directory::directoryApplyList(directory, dialect, {}, true);
     cr_assert(directory.replicas.contains("a"));
--- a/tests/GatewayTests.cpp
+++ b/tests/GatewayTests.cpp
@@ -240,7 +240,8 @@
         for (int round = 0; round < 3; ++round) {
             for (const char* model : { "m2", "m3" })
                 loop.spawn([&site, model, round] {
-                    site.call("/stream/", fmt::format("late-{}-{}", model, round), model, "secret-1", base::Millis(1500));
+                    site.call(
+                        "/stream/", fmt::format("late-{}-{}", model, round), model, "secret-1", base::Millis(1500));
                 });
             net::sleepFor(base::Millis(1600));
         }
