Count an adapter that is in use as held until a report shows that it has gone

Change: only 200 counts at once, otherwise reports are awaited for 3 s; adapters and models with runs are the last to be unloaded; a count of orders that stays above the report's for 1.5 s is taken back.

--- a/lab/WireReplica.cpp
+++ b/lab/WireReplica.cpp
@@ -32,6 +32,7 @@
     int64_t sequence = 0;
     int64_t highestToken = 0;
     int running = 0;
+    std::map<std::string, int> runningOf; // by model or MODEL/ADAPTER
     int64_t bornMillis = 1700000000000;
     std::vector<std::pair<base::TimePoint, base::TimePoint>> leaves;
     bool isStopped = false;
@@ -113,8 +114,16 @@
         if (!adapter.empty()) {
             std::string name = model + "/" + adapter;
             if (!isLoad) {
-                heldAdapters.erase(name);
-                return 200;
+                if (!runningOf[name]) {
+                    heldAdapters.erase(name);
+                    return 200;
+                }
+                loop.spawn([this, name] {
+                    while (runningOf[name] && !isStopped)
+                        net::sleepFor(silentPoll);
+                    heldAdapters.erase(name);
+                });
+                return 202;
             }
             book.isOvercommitted = book.isOvercommitted || heldAdapters.size() >= options.adapterPlaces;
             heldAdapters.insert(name);
@@ -176,12 +185,14 @@
             std::string(net::httpHeader(request.headers, "Last-Event-Id")),
             !net::httpHeader(request.headers, "Authorization").empty(), false, base::Clock::now(), {} });
         ++running;
+        ++runningOf[model];
         exchange.watchCaller([this, number] { book.runs[number].sawLeave = true; });
         if (options.isEngine)
             runStream(exchange, id, number, fault);
         else
             runPlain(exchange, id, fault);
         --running;
+        --runningOf[model];
         book.runs[number].endedAt = base::Clock::now();
     }
 
@@ -297,6 +308,10 @@
 {
     return m_impl->server->address;
 }
+void WireReplica::setWorkTime(base::Millis time)
+{
+    m_impl->options.workTime = time;
+}
 WireReplicaFaults& WireReplica::faults()
 {
     return m_impl->faults;
--- a/lab/WireReplica.h
+++ b/lab/WireReplica.h
@@ -82,6 +82,7 @@
     const std::vector<std::pair<base::TimePoint, base::TimePoint>>& leaves() const;
 
     base::Address address() const;
+    void setWorkTime(base::Millis); // of what begins from now on
     WireReplicaFaults& faults();
     const WireReplicaBook& book() const;
     const std::set<std::string>& held() const;
--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -495,13 +495,14 @@
             member.demand[keyOf(row)].rate = row.at(3).get<double>();
     }
     for (auto& [key, demand] : member.demand)
-        demand.waiting = demand.worth = demand.reading = 0;
+        demand.waiting = demand.worth = demand.reading = demand.running = 0;
     if (body.contains("waiting")) {
         for (const Json& row : body.at("waiting")) {
             Demand& demand = member.demand[keyOf(row)];
             demand.waiting = row.at(3).get<double>();
             demand.worth = row.at(4).get<double>();
             demand.reading = row.at(5).get<double>();
+            demand.running = row.at(6).get<double>();
         }
     }
 }
@@ -609,6 +610,7 @@
             table[key].waiting += demand.waiting;
             table[key].worth += demand.worth;
             table[key].reading += demand.reading;
+            table[key].running += demand.running;
             table[key].rate += demand.rate;
         }
     }
@@ -628,8 +630,9 @@
     Json waiting = Json::array();
     Json rates = Json::array();
     for (const auto& [key, row] : m_demandSource()) {
-        if (row.waiting > 0 || row.reading > 0)
-            waiting.push_back({ key.service, key.model, key.adapter, row.waiting, row.worth, row.reading });
+        if (row.waiting > 0 || row.running > 0)
+            waiting.push_back(
+                { key.service, key.model, key.adapter, row.waiting, row.worth, row.reading, row.running });
         if (row.rate > 0)
             rates.push_back({ key.service, key.model, key.adapter, row.rate });
     }
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -68,6 +68,7 @@
     double waiting = 0; // requests that wait for a replica now
     double worth = 0;   // the sum of their weights
     double reading = 0; // requests that a replica has and has not begun to answer, now
+    double running = 0; // requests that a replica has, now
     double rate = 0;    // arrivals a second, smoothed
 };
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -142,6 +142,8 @@
     for (Session* session : m_sessions) {
         if (session->onFirstByte)
             table[demandKey(*session)].reading += 1;
+        if (session->connection && session->service)
+            table[demandKey(*session)].running += 1;
     }
     for (Session* session : m_waiting) {
         fabric::Demand& row = table[demandKey(*session)];
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -51,6 +51,16 @@
         }
     }
 
+    bool modelIsHeld(const std::vector<HeldModel>& held, const std::string& model, const std::string& adapter)
+    {
+        for (const HeldModel& each : held) {
+            if (each.name == model)
+                return adapter.empty()
+                    || std::find(each.adapters.begin(), each.adapters.end(), adapter) != each.adapters.end();
+        }
+        return false;
+    }
+
     void addHeld(std::vector<HeldModel>& held, const std::string& model, const std::string& adapter)
     {
         auto found = std::find_if(held.begin(), held.end(), [&](const HeldModel& each) { return each.name == model; });
@@ -224,8 +234,13 @@
     // A report lags: one from before the last order, or from the middle of one, does not say what is held now.
     bool isSettled = report->ordersTaken == follow->ordersTaken && !report->isBusy && !follow->isOrdering
         && askedAt >= follow->orderedAt;
-    if (!isSettled)
+    if (!isSettled) {
+        // A count that stays below ours for longer than reports lag: an order that "held" was not counted.
+        if (report->ordersTaken < follow->ordersTaken && !report->isBusy && !follow->isOrdering && !follow->isEngaged
+            && askedAt - follow->orderedAt > m_options.reportLagMost)
+            follow->ordersTaken = report->ordersTaken;
         return true;
+    }
     bool isChanged = !follow->isSettled || !(follow->held == report->models);
     follow->isSettled = true;
     follow->held = report->models;
@@ -438,10 +453,7 @@
             return false;
         if (!askReport(job.replica) || follow.report.ordersTaken < follow.ordersTaken || follow.report.isBusy)
             continue;
-        bool isHeld = false;
-        for (const HeldModel& held : follow.report.models)
-            isHeld = isHeld || held.name == order.model;
-        if (isHeld == order.isLoad && order.adapter.empty())
+        if (modelIsHeld(follow.report.models, order.model, order.adapter) == order.isLoad)
             return true;
         if (!wasAccepted)
             return false;
@@ -452,7 +464,7 @@
 // Gives one order and waits until it is carried out. Suspends.
 bool Placer::orderAndFollow(const PlanJob& job, Follow& follow, const ModelOrder& planned)
 {
-    BootTime giveUpAt = BootClock::now() + m_options.followTime;
+    BootTime giveUpAt = BootClock::now() + (job.adapter.empty() ? m_options.followTime : m_options.adapterFollowTime);
     for (int conflicts = 0; conflicts < conflictsMost && BootClock::now() < giveUpAt; ++conflicts) {
         ModelOrder order = planned;
         order.holder = m_fabric.options().name;
@@ -479,14 +491,16 @@
         bool wasAccepted = answer == OrderAnswer::Accepted || answer == OrderAnswer::Holds;
         if (answer == OrderAnswer::Accepted || (answer == OrderAnswer::Holds && !order.adapter.empty()))
             follow.ordersTaken = std::max(follow.ordersTaken, order.expectedOrders + 1);
-        if (wasAccepted && !order.adapter.empty()) {
-            if (order.isLoad)
-                net::sleepFor(m_options.adapterTime);
+        if (wasAccepted && !order.adapter.empty() && order.isLoad) {
+            net::sleepFor(m_options.adapterTime);
             return true;
         }
+        // An adapter that is in use keeps its place until its runs have ended; only then is the answer "holds".
+        if (answer == OrderAnswer::Holds && !order.adapter.empty())
+            return true;
         // Reports lag, so the usual time of an order that was accepted is waited out without them. The next order fails
         // if this one is still under way, and requests that come too early are refused unrun.
-        if (answer == OrderAnswer::Accepted && !order.isLoad) {
+        if (answer == OrderAnswer::Accepted && !order.isLoad && order.adapter.empty()) {
             net::sleepFor(m_options.unloadTime);
             return true;
         }
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -22,21 +22,23 @@
 namespace rattanshunt::models {
 
 struct PlacerOptions {
-    base::Millis planInterval { 100 };   // without news
-    base::Millis planPause { 25 };       // between two plans, with news
-    base::Millis unloadTime { 120 };     // of a model without runs
-    base::Millis loadSlack { 25 };       // beyond the time of a load from disk or memory
-    base::Millis reportInterval { 600 }; // between two reports of a replica that is not engaged
-    base::Millis reportTime { 400 };     // for one report
-    base::Millis orderTime { 800 };      // for the answer to an order
-    base::Millis followInterval { 60 };  // between two reports while an order is under way
-    base::Seconds followTime { 20 };     // after which a job is given up
-    base::Seconds ceilingWindow { 5 };   // of the weight store's limit on loads
-    base::Millis adapterTime { 20 };     // until an accepted adapter can be used
-    base::Millis settleTime { 1800 };    // after a takeover, until the members' rates are known
-    base::Millis readingTime { 1500 };   // over which requests without a first byte are smoothed
-    base::Millis firstJobs { 1200 };     // until models are ready, counted from when orders are allowed
-    double storeLoadsAtOnce = 4;         // of the weight store at full speed, until it is measured
+    base::Millis planInterval { 100 };       // without news
+    base::Millis planPause { 25 };           // between two plans, with news
+    base::Millis unloadTime { 120 };         // of a model without runs
+    base::Millis loadSlack { 25 };           // beyond the time of a load from disk or memory
+    base::Millis reportInterval { 600 };     // between two reports of a replica that is not engaged
+    base::Millis reportTime { 400 };         // for one report
+    base::Millis orderTime { 800 };          // for the answer to an order
+    base::Millis followInterval { 60 };      // between two reports while an order is under way
+    base::Seconds followTime { 20 };         // after which a job is given up
+    base::Millis adapterFollowTime { 3000 }; // the same for an adapter
+    base::Millis reportLagMost { 1500 };     // by which a report may be behind
+    base::Seconds ceilingWindow { 5 };       // of the weight store's limit on loads
+    base::Millis adapterTime { 20 };         // until an accepted adapter can be used
+    base::Millis settleTime { 1800 };        // after a takeover, until the members' rates are known
+    base::Millis readingTime { 1500 };       // over which requests without a first byte are smoothed
+    base::Millis firstJobs { 1200 };         // until models are ready, counted from when orders are allowed
+    double storeLoadsAtOnce = 4;             // of the weight store at full speed, until it is measured
     PlanOptions plan;
 };
 
--- a/src/models/Planner.cpp
+++ b/src/models/Planner.cpp
@@ -16,6 +16,7 @@
         double worth = 0;
         double rate = 0;
         double reading = 0;
+        double running = 0;
     };
 
     struct Planning {
@@ -69,14 +70,16 @@
         auto found = planning.demand.find(model);
         double rate = options.keepRate;
         double reading = 0;
+        double running = 0;
         if (found != planning.demand.end()) {
             rate = std::max(rate, found->second.rate);
             reading = found->second.reading;
+            running = found->second.running;
         }
         auto copies = planning.copies.find(model);
         int count = copies == planning.copies.end() ? 1 : std::max(1, copies->second);
         if (count == 1)
-            return options.swapCost + rate * options.swapTime + reading;
+            return options.swapCost + rate * options.swapTime + reading + running * options.runCost;
         double left = reading / (count - 1);
         return options.swapCost / count + rate / count * 0.1 + (left > options.readingMost / 2 ? left : 0);
     }
@@ -224,7 +227,11 @@
     double adapterRate(const Planning& planning, const std::string& model, const std::string& adapter)
     {
         auto found = planning.input.demand.find({ planning.input.service, model, adapter });
-        return found == planning.input.demand.end() ? 0 : found->second.rate + 100 * found->second.waiting;
+        constexpr double waitingWeight = 100; // an adapter that is waited for is the last to go
+        constexpr double runningWeight = 10;  // one that is in use can't go before its runs have ended
+        if (found == planning.input.demand.end())
+            return 0;
+        return found->second.rate + waitingWeight * found->second.waiting + runningWeight * found->second.running;
     }
 
     // Brings an adapter to the replica that holds its model and gives up least for it.
@@ -293,6 +300,7 @@
         demand.worth += row.worth;
         demand.rate += row.rate;
         demand.reading += row.reading;
+        demand.running += row.running;
     }
     for (const PlanReplica& replica : input.replicas) {
         for (const HeldModel& held : replica.held)
--- a/src/models/Planner.h
+++ b/src/models/Planner.h
@@ -59,6 +59,7 @@
 struct PlanOptions {
     double readingMost = 1.5;  // requests for each copy that wait for their first byte, beyond which one more is wanted
     double swapTime = 2.5;     // s to bring an unloaded model back from disk, unloading included
+    double runCost = 0.2;      // of each run that an unload has to wait for
     double swapCost = 0.1;     // of a swap as such, in the same unit as below
     double adapterLoad = 0.5;  // load of all holders of an adapter beyond which it gets one more place
     double lastCopyWeight = 4; // how much more a model that nobody holds counts when free room is filled
--- a/tests/GatewayDecisionTests.cpp
+++ b/tests/GatewayDecisionTests.cpp
@@ -216,7 +216,7 @@
     shelf.add("b", { "m3", "m4" }).onDisk = { "m5" };
     shelf.demand("m1").rate = 5;
     shelf.demand("m3").rate = 2;
-    shelf.demand("m5") = { 1, 1, 0, 0.1 };
+    shelf.demand("m5") = { 1, 1, 0, 0, 0.1 };
     models::Plan plan = shelf.plan();
     cr_assert_eq(plan.jobs.size(), 1);
     cr_assert_eq(plan.jobs[0].replica, "b");
@@ -228,10 +228,10 @@
 {
     Shelf shelf;
     shelf.add("a", { "m1", "m2" });
-    shelf.demand("m1") = { 2, 2, 0, 1 };
-    shelf.demand("m2") = { 2, 2, 0, 1 };
-    shelf.demand("m3") = { 1, 1, 0, 1 };
-    shelf.demand("m4") = { 3, 3, 0, 1 };
+    shelf.demand("m1") = { 2, 2, 0, 0, 1 };
+    shelf.demand("m2") = { 2, 2, 0, 0, 1 };
+    shelf.demand("m3") = { 1, 1, 0, 0, 1 };
+    shelf.demand("m4") = { 3, 3, 0, 0, 1 };
     models::Plan plan = shelf.plan();
     cr_assert(plan.jobs.empty());
     cr_assert_eq(plan.missing, (std::vector<std::string> { "m4", "m3" }));
@@ -248,7 +248,7 @@
     for (const char* id : { "a", "b", "c" })
         shelf.add(id, { "m1", "m2" });
     for (const char* model : { "m3", "m4", "m5" })
-        shelf.demand(model) = { 1, 1, 0, 1 };
+        shelf.demand(model) = { 1, 1, 0, 0, 1 };
     shelf.input.mayUnload = false;
     cr_assert(shelf.plan().jobs.empty());
     shelf.input.mayUnload = true;
@@ -263,7 +263,7 @@
     Shelf shelf;
     shelf.add("a", { "m1", "m2" });
     shelf.add("b", { "m3", "m4" }).onDisk = { "m1" };
-    shelf.demand("m1") = { 0, 0, 0.5, 5 };
+    shelf.demand("m1") = { 0, 0, 0.5, 0, 5 };
     cr_assert(shelf.plan().jobs.empty());
     shelf.demand("m1").reading = 9;
     models::Plan plan = shelf.plan();
@@ -291,7 +291,7 @@
     replica.held[0].adapters = { "a1", "a2" };
     shelf.demand("m1", "a1").rate = 3;
     shelf.demand("m1", "a2").rate = 0.2;
-    shelf.demand("m1", "a3") = { 1, 1, 0, 0.1 };
+    shelf.demand("m1", "a3") = { 1, 1, 0, 0, 0.1 };
     models::Plan plan = shelf.plan();
     cr_assert_eq(plan.jobs.size(), 1);
     cr_assert_eq(plan.jobs[0].adapter, "a3");
@@ -314,7 +314,7 @@
             replica.isEngaged = random() % 4 == 0;
         }
         for (auto& [name, spec] : shelf.engine.models)
-            shelf.demand(name) = { static_cast<double>(random() % 3), 1, static_cast<double>(random() % 8), 0.1 };
+            shelf.demand(name) = { static_cast<double>(random() % 3), 1, static_cast<double>(random() % 8), 0, 0.1 };
         std::set<std::string> engaged;
         for (const models::PlanJob& job : shelf.plan().jobs) {
             cr_assert(engaged.insert(job.replica).second);
--- a/tests/GatewayTests.cpp
+++ b/tests/GatewayTests.cpp
@@ -231,6 +231,29 @@
     });
 }
 
+// msc-notices-grown trouble-2 --seed 505149596634: an unload that was accepted is not done while the adapter is in use.
+Test(gateway, an_adapter_in_use_keeps_its_place_until_its_runs_have_ended, .timeout = 30)
+{
+    tests::onLoop([](net::Loop& loop) {
+        Site site(loop);
+        site.engine[1]->faults() = { ReplicaFault::Refuse, -1 };
+        site.fleet.withdraw(*site.engine[1]);
+        net::sleepFor(base::Millis(1300));
+        site.engine[0]->setWorkTime(base::Millis(250));
+        std::vector<int> statuses;
+        for (const char* model : { "m1/a1", "m1/a2", "m1/a3", "m1/a4" }) {
+            loop.spawn([&site, &statuses, model] {
+                statuses.push_back(site.call("/stream/", std::string("use-") + model, model).status);
+            });
+            net::sleepFor(base::Millis(150));
+        }
+        while (statuses.size() < 4)
+            net::sleepFor(base::Millis(20));
+        cr_assert(!site.engine[0]->book().isOvercommitted);
+        cr_assert_geq(std::count(statuses.begin(), statuses.end(), 200), 3);
+    });
+}
+
 Test(gateway, late_orders_never_overcommit_a_replica, .timeout = 60)
 {
     tests::onLoop([](net::Loop& loop) {
