Explain a request from log files, bound the log's rate, serve histograms

rattanshunt explain request ID FILE... tells a request's lines in order of time, what its daemon had learnt before, and the cause. Log lines go to standard output without blocking, 200 a second for each kind of event; latency histograms stand on the metrics address.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test and demonstrate. `make test` and `make demo` install what they need on a fresh Debian machine.
 PACKAGES = g++ cmake ninja-build ccache curl clang-format clang-tidy libboost1.81-dev libboost-fiber1.81-dev \
 	libboost-context1.81-dev libgflags-dev libgoogle-glog-dev libcriterion-dev libssl-dev libfmt-dev libxxhash-dev \
-	nlohmann-json3-dev librapidcheck-dev zlib1g-dev
+	nlohmann-json3-dev librapidcheck-dev zlib1g-dev prometheus-cpp-dev
 BUILD ?= build
 
 .PHONY: packages build test demo format lint golden
--- a/lab/GatewayFleet.cpp
+++ b/lab/GatewayFleet.cpp
@@ -52,7 +52,7 @@
     auto replica = std::make_unique<WireReplica>(m_loop, std::move(options));
     std::string error;
     replica->listen(error);
-    m_replicas.push_back({ id, std::move(replica) });
+    m_replicas.emplace_back(id, std::move(replica));
     announce(*m_replicas.back().second);
     return *m_replicas.back().second;
 }
--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -7,11 +7,10 @@
 #include <random>
 #include <set>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <fcntl.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -37,15 +36,10 @@
 
     uint16_t freePort()
     {
-        int handle = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        socklen_t size = sizeof(address);
-        getsockname(handle, reinterpret_cast<sockaddr*>(&address), &size);
-        close(handle);
-        return ntohs(address.sin_port);
+        using Tcp = boost::asio::ip::tcp;
+        boost::asio::io_context context;
+        Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        return acceptor.local_endpoint().port();
     }
 
     struct Process {
@@ -96,7 +90,6 @@
                 doFault();
                 net::sleepFor(base::Millis(between(150, 900)));
             }
-            m_faultsEnded = true;
             net::sleepFor(base::Seconds(5)); // the longest fault
             heal();
             base::TimePoint healed = base::Clock::now();
@@ -388,7 +381,6 @@
         {
             std::mt19937_64 random(m_options.seed * 1000 + number);
             std::unique_ptr<net::HttpConnection> connection;
-            size_t target = number % m_processes.size();
             while (!m_isDone) {
                 static constexpr const char* routes[] = { "safe", "once", "stream", "single" };
                 static constexpr const char* models[] = { "m1", "m2", "m3", "m1/a1", "m2/a2" };
@@ -398,8 +390,8 @@
                 std::string key = keys[random() % 4 == 0];
                 // A kept connection is used until its process is gone.
                 if (!connection || !connection->isReusable()) {
-                    target = random() % m_processes.size();
-                    connection = net::HttpConnection::create(m_loop, m_processes[target]->client);
+                    connection
+                        = net::HttpConnection::create(m_loop, m_processes[random() % m_processes.size()]->client);
                 }
                 call(*connection, route, id, model, key);
                 net::sleepFor(base::Millis(10 + random() % 90));
@@ -485,7 +477,7 @@
                     checkRun(run, i);
                     auto sent = m_sent.find(run.request);
                     if (sent != m_sent.end())
-                        usage.push_back({ run.startedAt, run.model.empty() ? 10 : 100 });
+                        usage.emplace_back(run.startedAt, run.model.empty() ? 10 : 100);
                 }
             }
             for (auto& [id, sent] : m_sent) {
@@ -558,7 +550,6 @@
         int m_version = 0;
         uint64_t m_lastId = 0;
         int m_callersEnded = 0;
-        bool m_faultsEnded = false;
         bool m_isDone = false;
     };
 
--- a/lab/WireReplica.cpp
+++ b/lab/WireReplica.cpp
@@ -109,7 +109,7 @@
         std::string model = order.at("model").get<std::string>();
         std::string adapter = order.value("adapter", "");
         bool isLoad = order.at("operation") == "load";
-        book.orders.push_back({ order.at("leaseHolder").get<std::string>(), token });
+        book.orders.emplace_back(order.at("leaseHolder").get<std::string>(), token);
         ++sequence;
         if (!adapter.empty()) {
             std::string name = model + "/" + adapter;
@@ -293,7 +293,7 @@
     auto& leaves = m_impl->leaves;
     bool isLeaving = !leaves.empty() && leaves.back().second == base::timeNever;
     if (isDraining && !isLeaving)
-        leaves.push_back({ base::Clock::now(), base::timeNever });
+        leaves.emplace_back(base::Clock::now(), base::timeNever);
     if (!isDraining && isLeaving)
         leaves.back().second = base::Clock::now();
     return Json {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -15,4 +15,4 @@
     clang-tidy --quiet -p "$2/lint" "$file" 2>/dev/null && touch "$stamp"
 }
 export -f check
-git ls-files 'src/*.cpp' 'lab/*.cpp' | xargs -P "$(nproc)" -I{} bash -c 'check "$@"' _ {} "$build" "$headers"
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'lab/*.cpp' | xargs -P "$(nproc)" -I{} bash -c 'check "$@"' _ {} "$build" "$headers"
--- /dev/null
+++ b/src/base/Histograms.cpp
@@ -0,0 +1,48 @@
+#include "base/Histograms.h"
+
+#include <map>
+#include <mutex>
+
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace rattanshunt::base {
+
+namespace {
+
+    // Seconds; from an answer of a plain service to the longest wait of a caller.
+    const prometheus::Histogram::BucketBoundaries bounds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5,
+        2.5, 5, 10, 20 };
+
+    struct Histograms {
+        std::mutex mutex;
+        prometheus::Registry registry;
+        std::map<std::pair<std::string, std::string>, prometheus::Histogram*> known; // by name and kind
+    };
+
+    Histograms& histograms()
+    {
+        static Histograms all;
+        return all;
+    }
+
+} // namespace
+
+void histogramObserve(const std::string& name, const std::string& kind, Duration time)
+{
+    Histograms& all = histograms();
+    std::lock_guard lock(all.mutex);
+    auto [found, isNew] = all.known.try_emplace({ name, kind }, nullptr);
+    if (isNew)
+        found->second
+            = &prometheus::BuildHistogram().Name(name).Register(all.registry).Add({ { "kind", kind } }, bounds);
+    found->second->Observe(secondsOf(time));
+}
+
+std::string histogramsText()
+{
+    return prometheus::TextSerializer().Serialize(histograms().registry.Collect());
+}
+
+} // namespace rattanshunt::base
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -12,6 +12,7 @@
 
     std::atomic<LogLevel> s_threshold { LogLevel::Info };
     void (*s_output)(std::string_view) = nullptr;
+    bool (*s_admit)(std::string_view) = nullptr;
 
     const char* levelName(LogLevel level)
     {
@@ -69,9 +70,10 @@
     google::InitGoogleLogging(name.c_str());
 }
 
-void logSetOutput(void (*write)(std::string_view line))
+void logSetOutput(void (*write)(std::string_view line), bool (*admit)(std::string_view event))
 {
     s_output = write;
+    s_admit = admit;
 }
 
 void logSetThreshold(LogLevel threshold)
@@ -93,7 +95,7 @@
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (level < s_threshold)
+    if (level < s_threshold || (s_admit && !s_admit(event)))
         return;
     auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     auto millis = now.time_since_epoch().count() % 1000;
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -38,8 +38,8 @@
 // Sets up glog to write to standard error. `threshold` drops events below it. Call once, before threads start.
 void logSetup(const std::string& programName, LogLevel threshold);
 
-// Sends lines to `write` instead. Call once, before threads start.
-void logSetOutput(void (*write)(std::string_view line));
+// Sends lines to `write` instead, of events that `admit` lets through. Call once, before threads start.
+void logSetOutput(void (*write)(std::string_view line), bool (*admit)(std::string_view event));
 
 // Changes the threshold. Safe from any thread.
 void logSetThreshold(LogLevel);
--- a/src/base/LogOutput.cpp
+++ b/src/base/LogOutput.cpp
@@ -1,5 +1,7 @@
 #include "base/LogOutput.h"
 
+#include <algorithm>
+#include <map>
 #include <mutex>
 #include <string>
 
@@ -9,6 +11,7 @@
 
 #include "base/Counters.h"
 #include "base/Log.h"
+#include "base/Time.h"
 
 namespace rattanshunt::base {
 
@@ -17,7 +20,17 @@
     constexpr size_t logBufferBytes = 256 * 1024; // some seconds of a busy daemon
     constexpr size_t writeBytes = 4096;           // a pipe that is ready for writing takes as many without blocking
 
+    constexpr double logLinesPerSecond = 200; // of one event kind; a busy daemon ends about 20 requests a second
+
+    // A token bucket for one event kind.
+    struct KindRate {
+        double level = 2 * logLinesPerSecond;
+        TimePoint asOf {};
+        size_t leftOut = 0;
+    };
+
     std::mutex s_mutex;
+    std::map<std::string, KindRate, std::less<>> s_kinds;
     std::string s_buffer;
     size_t s_dropped = 0;
 
@@ -36,6 +49,29 @@
 
 } // namespace
 
+bool logAdmit(std::string_view event)
+{
+    std::lock_guard lock(s_mutex);
+    auto found = s_kinds.find(event);
+    if (found == s_kinds.end())
+        found = s_kinds.emplace(std::string(event), KindRate {}).first;
+    KindRate& kind = found->second;
+    TimePoint now = Clock::now();
+    if (kind.asOf != TimePoint {})
+        kind.level = std::min(2 * logLinesPerSecond, kind.level + secondsOf(now - kind.asOf) * logLinesPerSecond);
+    kind.asOf = now;
+    if (kind.level < 1) {
+        ++kind.leftOut;
+        counterAdd("log_lines_left_out_total");
+        return false;
+    }
+    kind.level -= 1;
+    if (kind.leftOut && s_buffer.size() < logBufferBytes)
+        s_buffer += fmt::format(
+            "level=warning event=log.left_out kind={} lines={}\n", event, std::exchange(kind.leftOut, 0));
+    return true;
+}
+
 void logAppend(std::string_view line)
 {
     std::lock_guard lock(s_mutex);
@@ -60,7 +96,7 @@
 
 void logToStandardOutput()
 {
-    logSetOutput(logAppend);
+    logSetOutput(logAppend, logAdmit);
 }
 
 } // namespace rattanshunt::base
--- a/src/base/LogOutput.h
+++ b/src/base/LogOutput.h
@@ -14,6 +14,10 @@
 // Writes what the reader takes now. Call about ten times a second, and at the end.
 void logFlush();
 
+// Whether one more line of an event kind may be written now: each kind has `logLinesPerSecond`, with twice as many at
+// once. What is left out is counted and told in a line of its own.
+bool logAdmit(std::string_view event);
+
 // Takes one line in; drops it if `logBufferBytes` of others wait.
 void logAppend(std::string_view line);
 
--- a/src/cli/Client.cpp
+++ b/src/cli/Client.cpp
@@ -1,4 +1,5 @@
 #include "cli/Client.h"
+#include "reports/RequestStory.h"
 
 #include <fstream>
 #include <iostream>
@@ -133,6 +134,27 @@
         return exitUsage;
     }
 
+    // Reads log files and prints one request's story.
+    int explainRequest(const std::string& id, const std::vector<std::string>& files)
+    {
+        std::vector<reports::LogRecord> records;
+        for (const std::string& name : files) {
+            std::ifstream file(name);
+            if (!file)
+                return usage(fmt::format("the log file \"{}\" cannot be read", name));
+            std::string line;
+            while (std::getline(file, line))
+                records.push_back(reports::logRecordRead(name, line));
+        }
+        std::string story = reports::requestStory(id, records);
+        if (story.empty()) {
+            std::cout << "no line of these files names the request " << id << "\n";
+            return exitRefused;
+        }
+        std::cout << story;
+        return 0;
+    }
+
     int dispatch(net::Loop& loop, const base::Address& address, const std::vector<std::string>& words)
     {
         const std::string& command = words[0];
@@ -158,6 +180,8 @@
             return send(loop, address, requestFor("GET", "/counters"));
         if (command == "report" && words.size() == 1)
             return send(loop, address, requestFor("GET", "/api/v1/report?format=" + FLAGS_format));
+        if (command == "explain" && words.size() >= 4 && words[1] == "request")
+            return explainRequest(words[2], { words.begin() + 3, words.end() });
         if (command == "explain" && words.size() == 3)
             return send(loop, address, requestFor("GET", fmt::format("/api/v1/explain/{}/{}", words[1], words[2])));
         return usage("the command \"" + command + "\" is not known or its words are wrong");
@@ -170,6 +194,7 @@
     return R"(rattanshunt: serves rarely used models
 
   rattanshunt serve [--check]             run a daemon; --check only checks the settings
+  rattanshunt gateway [--check]           run a daemon in front of a platform's replicas
   rattanshunt settings                    table of all settings
   rattanshunt get KIND [NAME]             resources: model, adapter, account, key, route, service
   rattanshunt apply --f FILE              create or change resources; FILE holds {"kind","name","spec"} or a list of them
@@ -180,6 +205,7 @@
   rattanshunt status                      on how many instances the configuration is in force
   rattanshunt report [--format F]         service-level burn: text, json or html
   rattanshunt explain KIND NAME           model, account, instance or reason
+  rattanshunt explain request ID FILE...  what happened to one request, from the log files of gateways
   rattanshunt state                       the daemon's own state
   rattanshunt counters
   rattanshunt help | version
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "base/Counters.h"
+#include "base/Histograms.h"
 #include "base/Log.h"
 #include "base/LogOutput.h"
 #include "fabric/Fabric.h"
@@ -168,7 +169,7 @@
         std::string metricsText() const
         {
             BootTime now = BootClock::now();
-            std::string text = base::countersText();
+            std::string text = base::countersText() + base::histogramsText();
             auto gauge = [&](const char* name, double value) { text += fmt::format("{} {}\n", name, value); };
             gauge("knowledge_age_seconds", base::secondsOf(now - m_fabric.provenAt()));
             gauge("requests_under_way", static_cast<double>(m_gateway.underWay()));
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -29,6 +29,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -77,7 +78,11 @@
     std::string model;
     std::string adapter;
 
-    auto operator<=>(const DemandKey&) const = default;
+    bool operator<(const DemandKey& other) const
+    {
+        return std::tie(service, model, adapter) < std::tie(other.service, other.model, other.adapter);
+    }
+    bool operator==(const DemandKey&) const = default;
 };
 
 using ModelKey = std::pair<std::string, std::string>; // service and model
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "base/Counters.h"
+#include "base/Histograms.h"
 #include "base/Log.h"
 
 namespace rattanshunt::gateway {
@@ -43,7 +44,7 @@
 
 Gateway::Gateway(net::Loop& loop, GatewayOptions options, const Dialect& dialect, fabric::Fabric& fabric)
     : m_loop(loop)
-    , m_options(std::move(options))
+    , m_options(options)
     , m_dialect(dialect)
     , m_fabric(fabric)
     , m_channels(loop, m_options.channels)
@@ -165,6 +166,17 @@
 {
     BootTime now = BootClock::now();
     base::counterAddLabelled("requests_total", "outcome", outcome);
+    if (*why)
+        base::counterAddLabelled("requests_not_served_total", "why", why);
+    if (session.route) {
+        const char* kind = session.route->isStream      ? "stream"
+            : session.route->repeat == RepeatKind::Safe ? "safe"
+                                                        : "once";
+        base::histogramObserve("request_seconds", kind, now - session.arrivedAt);
+        base::histogramObserve("request_wait_seconds", kind, session.waited);
+        if (session.events.passed)
+            base::histogramObserve("request_first_event_seconds", kind, session.firstEventAt - session.arrivedAt);
+    }
     base::logEvent(LogLevel::Info, "request.end",
         { { "id", session.head.id }, { "route", session.route ? session.route->name : "" },
             { "account", session.account }, { "model", session.head.model }, { "adapter", session.head.adapter },
@@ -411,6 +423,13 @@
         }
         WaitDecision decision = waitDecide(view, m_options.waiting);
         if (!decision.mayWait) {
+            base::logEvent(LogLevel::Info, "request.not_waiting",
+                { { "id", session.head.id }, { "why", decision.why }, { "model", session.head.model },
+                    { "is_held", isHeld }, { "ready_in_ms", view.readyIn ? base::millisOf(*view.readyIn) : -1 },
+                    { "patience_left_ms", base::millisOf(view.patienceLeft) },
+                    { "waited_ms", base::millisOf(view.waited) }, { "waiting_here", view.waitingHere },
+                    { "has_hub", view.hasHub },
+                    { "retry_after_ms", decision.retryAfter ? decision.retryAfter->count() : 0 } });
             refusal = { decision.why, decision.retryAfter };
             break;
         }
--- a/src/gateway/ReplicaChoice.cpp
+++ b/src/gateway/ReplicaChoice.cpp
@@ -25,7 +25,7 @@
         return isShort;
     std::vector<std::pair<uint64_t, size_t>> ranks;
     for (size_t i = 0; i < ids.size(); ++i)
-        ranks.push_back({ base::stableHash(ids[i], group), i });
+        ranks.emplace_back(base::stableHash(ids[i], group), i);
     std::sort(ranks.begin(), ranks.end());
     auto count = static_cast<size_t>(std::ceil(options.shortPart * static_cast<double>(ids.size())));
     for (size_t i = 0; i < count; ++i)
@@ -40,6 +40,7 @@
     std::vector<bool> isShort;
     if (hasGroups) {
         std::vector<std::string_view> ids;
+        ids.reserve(views.size());
         for (const ReplicaView& view : views)
             ids.push_back(view.id);
         isShort = replicasForShort(ids, request.group, options);
--- a/src/gateway/ReplicaChoice.h
+++ b/src/gateway/ReplicaChoice.h
@@ -46,7 +46,7 @@
 };
 
 struct ReplicaChoiceOptions {
-    double affinityWorth = 0.15;         // of the slots, that the preferred replica may be busier
+    double affinityWorth = 0.25;         // of the slots, that the preferred replica may be busier
     double awayCost = 0.04;              // of the slots, for crossing data centres
     double troubleCost = 0.5;            // of the slots, for each recent failure
     base::Millis reportHalfLife { 400 }; // of the requests of others in a report
--- a/src/models/Planner.cpp
+++ b/src/models/Planner.cpp
@@ -116,7 +116,7 @@
             bool isLast = planning.copies.contains(held.name) && planning.copies.at(held.name) <= 1;
             if (isLast && demand != planning.demand.end() && demand->second.waiting > 0)
                 continue;
-            candidates.push_back({ unloadCost(planning, held.name), &held });
+            candidates.emplace_back(unloadCost(planning, held.name), &held);
         }
         std::sort(candidates.begin(), candidates.end(),
             [](auto& a, auto& b) { return a.first != b.first ? a.first < b.first : a.second->name < b.second->name; });
@@ -310,7 +310,7 @@
     }
     std::vector<std::pair<double, const ModelSpec*>> order;
     for (const auto& [name, demand] : planning.demand)
-        order.push_back({ demand.worth, &input.engine->models.at(name) });
+        order.emplace_back(demand.worth, &input.engine->models.at(name));
     std::sort(order.begin(), order.end(),
         [](auto& a, auto& b) { return a.first != b.first ? a.first > b.first : a.second->name < b.second->name; });
 
@@ -340,7 +340,7 @@
             isComing = isComing || replica.coming.contains(spec->name);
         double gain = copyGain(planning, spec->name);
         if (gain > 0 && !isComing)
-            wanted.push_back({ gain, spec });
+            wanted.emplace_back(gain, spec);
     }
     std::sort(wanted.begin(), wanted.end(),
         [](auto& a, auto& b) { return a.first != b.first ? a.first > b.first : a.second->name < b.second->name; });
--- /dev/null
+++ b/src/reports/RequestStory.cpp
@@ -0,0 +1,118 @@
+#include "reports/RequestStory.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace rattanshunt::reports {
+
+namespace {
+
+    constexpr size_t contextLines = 8; // of the same daemon, before the request's end
+
+    // Events that change what a daemon believes.
+    const std::set<std::string> contextEvents
+        = { "hub.lost", "hub.reached", "hub.elected", "hub.resigned", "hub.changed", "store.lost", "store.reached",
+              "configuration.in_force", "gateway.stopping", "gateway.start", "settings.reloaded" };
+
+    // What a reason means, for whoever reads the story.
+    const std::map<std::string, std::string> causes = {
+        { "over_usage_cap", "its account had used its rate and burst; see the line quota.refused for who decided" },
+        { "model_comes_too_late",
+            "no replica held its model, and the model would not have been ready before the caller left" },
+        { "model_not_loaded", "no replica held its model until the caller's time was over" },
+        { "nobody_orders_models", "no replica held its model, and no hub was there to order it" },
+        { "replicas_full", "every replica with its model was full or had been tried" },
+        { "no_other_replica", "the replicas that were tried refused it, and no other was left" },
+        { "configuration_stale",
+            "this daemon could not prove that its configuration was current: the store and the hub were out of reach" },
+        { "no_configuration", "this daemon had just started and knew no configuration" },
+        { "unknown_key", "no configuration in force holds its key" },
+        { "no_route", "no route in force fits its host and path" },
+        { "stopping", "this daemon was being stopped, and the request would have waited too long" },
+        { "closed", "the replica closed the connection before its answer was whole; it may have run" },
+        { "malformed", "the replica sent bytes that are no answer; it may have run" },
+        { "timed_out", "its time was over while a replica worked on it" },
+        { "half_event", "the replica ended its stream in the middle of an event" },
+        { "not_to_be_passed_on",
+            "the replica's answer was not signed or not allowed to be passed on; it may have run" },
+        { "replica_failed", "the replica ran it and answered with a failure of its own" },
+        { "cancelled", "the caller left while a replica worked on it" },
+        { "caller_gone", "the caller left while the request waited" },
+    };
+
+    std::string fieldOf(const LogRecord& record, const std::string& name)
+    {
+        auto found = record.fields.find(name);
+        return found == record.fields.end() ? "" : found->second;
+    }
+
+} // namespace
+
+LogRecord logRecordRead(const std::string& source, const std::string& line)
+{
+    LogRecord record { source, {}, line };
+    size_t at = 0;
+    while (at < line.size()) {
+        size_t equals = line.find('=', at);
+        if (equals == std::string::npos)
+            break;
+        size_t nameAt = line.rfind(' ', equals);
+        nameAt = nameAt == std::string::npos || nameAt < at ? at : nameAt + 1;
+        std::string name = line.substr(nameAt, equals - nameAt);
+        size_t end = equals + 1;
+        std::string value;
+        if (end < line.size() && line[end] == '"') {
+            for (++end; end < line.size() && line[end] != '"'; ++end) {
+                if (line[end] == '\\' && end + 1 < line.size())
+                    ++end;
+                value += line[end];
+            }
+            ++end;
+        } else {
+            end = std::min(line.find(' ', equals), line.size());
+            value = line.substr(equals + 1, end - equals - 1);
+        }
+        record.fields[name] = value;
+        at = end + 1;
+    }
+    return record;
+}
+
+std::string requestStory(const std::string& id, const std::vector<LogRecord>& records)
+{
+    std::vector<const LogRecord*> own;
+    for (const LogRecord& record : records) {
+        if (fieldOf(record, "id") == id)
+            own.push_back(&record);
+    }
+    if (own.empty())
+        return "";
+    auto byTime = [](const LogRecord* a, const LogRecord* b) { return fieldOf(*a, "time") < fieldOf(*b, "time"); };
+    std::stable_sort(own.begin(), own.end(), byTime);
+    std::string text;
+    for (const LogRecord* record : own)
+        text += fmt::format("{}: {}\n", record->source, record->line);
+    const LogRecord& end = *own.back();
+    std::vector<const LogRecord*> context;
+    for (const LogRecord& record : records) {
+        if (record.source == end.source && contextEvents.contains(fieldOf(record, "event"))
+            && fieldOf(record, "time") <= fieldOf(end, "time"))
+            context.push_back(&record);
+    }
+    std::stable_sort(context.begin(), context.end(), byTime);
+    if (!context.empty())
+        text += "what this daemon had learnt before:\n";
+    for (size_t i = context.size() - std::min(context.size(), contextLines); i < context.size(); ++i)
+        text += "  " + context[i]->line + "\n";
+    auto cause = causes.find(fieldOf(end, "why"));
+    if (fieldOf(end, "outcome") == "served")
+        text += fmt::format("cause: none; it was served after {} ms\n", fieldOf(end, "took_ms"));
+    else
+        text += fmt::format(
+            "cause: {}\n", cause == causes.end() ? "unknown reason " + fieldOf(end, "why") : cause->second);
+    return text;
+}
+
+} // namespace rattanshunt::reports
