--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -90,7 +90,7 @@
                 doFault();
                 net::sleepFor(base::Millis(between(150, 900)));
             }
-            net::sleepFor(base::Seconds(5)); // the longest fault
+            net::sleepFor(base::Seconds(9)); // the longest fault
             heal();
             base::TimePoint healed = base::Clock::now();
             m_lateFrom = healed + m_options.recovery;
@@ -321,10 +321,10 @@
                 tell(fmt::format("orders to replica {} late for {} ms", index, time));
                 m_replicas[index]->faults().orderDelay = base::Millis(between(500, 4000));
                 later(time, [this, index] { m_replicas[index]->faults().orderDelay = base::Millis(0); });
-            } else if (m_leavingSince[index] == base::timeNever && between(0, 1) == 0) {
-                tell(fmt::format("replica {} leaves for 7 s", index));
+            } else if (m_leavingSince[index] == base::timeNever) {
+                tell(fmt::format("replica {} leaves for 9 s", index));
                 announce(index, true);
-                later(7000, [this, index] { announce(index, false); });
+                later(9000, [this, index] { announce(index, false); });
             }
         }
 
@@ -336,7 +336,12 @@
                 m_takenAt[key] = base::timeNever;
                 m_store.put("op/config", configuration());
                 m_takenAt[key] = base::Clock::now();
-                tell("key taken away");
+                bool isHidden = between(0, 1) == 0;
+                tell(isHidden ? "key taken away, and the store falls silent for 8 s" : "key taken away");
+                if (isHidden) {
+                    m_store.faults().mode = StoreMode::Silent;
+                    later(8000, [this] { m_store.faults().mode = StoreMode::Sound; });
+                }
                 return;
             }
             m_store.put("op/config", configuration());
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -1,7 +1,7 @@
 // Settings of the product: flags, environment variables, checks.
 //
 // Each setting is a gflags flag and, as RATTANSHUNT_<FLAG> in upper case, an environment variable; the flag goes
-// first. settingsCheck() reports all faults at once. docs/OPERATING.md has the table, made by `rattanshunt settings`.
+// first. settingsCheck() reports all faults at once. docs/OPERATIONS.md has the table, made by `rattanshunt settings`.
 #pragma once
 
 #include <string>
@@ -69,7 +69,7 @@
 
 std::string settingFaultText(const SettingFault&);
 
-// A Markdown table of all settings, for docs/OPERATING.md.
+// A Markdown table of all settings, for docs/OPERATIONS.md.
 std::string settingsTable();
 
 } // namespace rattanshunt::settings
--- /dev/null
+++ b/tests/BoundaryTests.cpp
@@ -0,0 +1,28 @@
+// Only the adapter knows the names of the platform's wire.
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "Support.h"
+
+Test(boundary, no_file_outside_the_adapter_holds_a_name_of_the_wire)
+{
+    namespace fs = std::filesystem;
+    fs::path root = fs::path(SCENARIO_DIR) / ".." / "..";
+    size_t files = 0;
+    for (const fs::directory_entry& entry : fs::recursive_directory_iterator(root / "src")) {
+        if (!entry.is_regular_file())
+            continue;
+        ++files;
+        std::ifstream file(entry.path());
+        std::stringstream text;
+        text << file.rdbuf();
+        // Not Request-Id and Deadline-Ms: the product's own interface has headers of these names.
+        for (const char* name : { "Server-Seal", "Not-Executed", "Expect-Instance", "Token-Count", "Prompt-Prefix",
+                 "Server-Load", "Request-Priority", "kv-range", "kv-txn", "kv-keep", "op/config", "servers/",
+                 "routeType", "trafficSplit", "leaseHolder", "apiKeys", "rattanshunt/report", "rattanshunt/order",
+                 "rattanshunt/readiness" })
+            cr_assert(text.str().find(name) == std::string::npos, "%s holds %s", entry.path().c_str(), name);
+    }
+    cr_assert_gt(files, 100);
+}
--- a/tests/DecisionTests.cpp
+++ b/tests/DecisionTests.cpp
@@ -236,11 +236,11 @@
 
 Test(settings, the_table_in_the_operators_page_is_the_real_one)
 {
-    std::ifstream file(std::string(SCENARIO_DIR) + "/../../docs/OPERATING.md");
+    std::ifstream file(std::string(SCENARIO_DIR) + "/../../docs/OPERATIONS.md");
     std::stringstream page;
     page << file.rdbuf();
     cr_assert_neq(page.str().find(settings::settingsTable()), std::string::npos,
-        "put the output of `rattanshunt settings` into docs/OPERATING.md");
+        "put the output of `rattanshunt settings` into docs/OPERATIONS.md");
 }
 
 Test(outcome, the_interface_page_lists_every_reason)
