Count prompts that wait at a replica in the choice

Cause: with few requests for each gateway and replica, its own counts say little of a replica's backlog of prompts.

Change: waiting prompts of the newest report or answer count for 0.05 of the slots each, halved each 0.7 s; affinity 0.25.

--- a/src/base/LogOutput.cpp
+++ b/src/base/LogOutput.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <utility>
 
 #include <fmt/format.h>
 #include <poll.h>
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -308,11 +308,12 @@
 {
     ReplicaUse& use = m_uses[replica.entry.id];
     if (use.bornMillis != replica.entry.bornMillis) {
-        use = { replica.entry.bornMillis, use.ownNow, 0, use.unread };
+        use = { replica.entry.bornMillis, use.ownNow, 0, use.unread, 0, 0, {}, 0, {} };
         m_channels.forget(replica.entry.address);
     }
     if (replica.hasReport && replica.reportAt > use.reportedAt) {
         use.reported = replica.report.running + replica.report.waiting;
+        use.waiting = replica.report.waiting;
         use.reportedAt = replica.reportAt;
         use.ownThen = use.ownNow;
     }
@@ -353,6 +354,7 @@
         view.ownThen = use.ownThen;
         view.reportAge = now - use.reportedAt;
         view.ownUnread = use.unread;
+        view.reportedWaiting = use.waiting;
         view.trouble = troubleOf(use, now);
         view.isAway = replica.entry.dataCenter != m_fabric.options().dataCenter;
         views.push_back(view);
@@ -470,6 +472,7 @@
     use.ownNow = std::max(0.0, use.ownNow - 1);
     if (result.load) {
         use.reported = result.load->running + result.load->waiting;
+        use.waiting = result.load->waiting;
         use.reportedAt = now;
         use.ownThen = use.ownNow;
     }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -73,6 +73,7 @@
         double ownThen = 0;
         double unread = 0; // requests under way whose first byte has not come
         double reported = 0;
+        double waiting = 0; // of `reported`
         base::BootTime reportedAt {};
         double trouble = 0;
         base::BootTime troubleAt {};
--- a/src/gateway/ReplicaChoice.cpp
+++ b/src/gateway/ReplicaChoice.cpp
@@ -71,6 +71,8 @@
             continue;
         double cost = load + view.trouble * options.troubleCost;
         cost += view.ownUnread * options.unreadCost;
+        cost += view.reportedWaiting * options.waitingCost
+            * std::exp2(-base::secondsOf(view.reportAge) / base::secondsOf(options.waitingHalfLife));
         if (hasGroups && isShort[i] == request.isLong)
             cost += options.otherGroupCost;
         if (view.isAway)
--- a/src/gateway/ReplicaChoice.h
+++ b/src/gateway/ReplicaChoice.h
@@ -33,9 +33,10 @@
     double ownNow = 0;   // of this daemon, under way now
     double ownThen = 0;  // of this daemon, under way at that report
     base::Duration reportAge { 0 };
-    double ownUnread = 0; // of this daemon's, those whose prompt is still being read
-    double trouble = 0;   // recent failures, decaying
-    bool isAway = false;  // in another data centre
+    double ownUnread = 0;       // of this daemon's, those whose prompt is still being read
+    double reportedWaiting = 0; // requests whose prompt waits or is being read, at the last report
+    double trouble = 0;         // recent failures, decaying
+    bool isAway = false;        // in another data centre
 };
 
 struct ChoiceRequest {
@@ -46,16 +47,18 @@
 };
 
 struct ReplicaChoiceOptions {
-    double affinityWorth = 0.25;         // of the slots, that the preferred replica may be busier
-    double awayCost = 0.04;              // of the slots, for crossing data centres
-    double troubleCost = 0.5;            // of the slots, for each recent failure
-    base::Millis reportHalfLife { 400 }; // of the requests of others in a report
-    double fullLoad = 1.0;               // requests for each slot beyond which a replica gets no more
-    double unreadCost = 0.04;            // of the slots, for each prompt that is being read
-    double otherGroupCost = 0.2;         // of the slots, for a replica of the other group
-    double shortPart = 0.34;             // of a model's replicas, that serve short prompts first
-    size_t groupsFrom = 1000;            // replicas of a model from which on they are told apart
-    double troubleMost = 3;              // failures at which a replica is used only if no other is left
+    double affinityWorth = 0.25;          // of the slots, that the preferred replica may be busier
+    double awayCost = 0.04;               // of the slots, for crossing data centres
+    double troubleCost = 0.5;             // of the slots, for each recent failure
+    base::Millis reportHalfLife { 400 };  // of the requests of others in a report
+    base::Millis waitingHalfLife { 700 }; // of waiting prompts in a report
+    double fullLoad = 1.0;                // requests for each slot beyond which a replica gets no more
+    double unreadCost = 0.04;             // of the slots, for each prompt that is being read
+    double waitingCost = 0.05;            // of the slots, for each one that a fresh report tells of
+    double otherGroupCost = 0.2;          // of the slots, for a replica of the other group
+    double shortPart = 0.34;              // of a model's replicas, that serve short prompts first
+    size_t groupsFrom = 1000;             // replicas of a model from which on they are told apart
+    double troubleMost = 3;               // failures at which a replica is used only if no other is left
 };
 
 // ---- [2] Decisions -----------------------------------------------------------------------------
