--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -1,3 +1,4 @@
+// One class in one file: processes, faults, callers and checks share the state of a single run.
 #include "Soak.h"
 
 #include <csignal>
--- /dev/null
+++ b/src/fabric/FabricMember.cpp
@@ -0,0 +1,235 @@
+// Being a member: syncs with the hub or anybody, and usage of accounts.
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include "base/Counters.h"
+#include "base/Log.h"
+#include "fabric/FabricParts.h"
+
+namespace rattanshunt::fabric {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+using Json = nlohmann::json;
+
+// ---- A member ----------------------------------------------------------------------------------
+
+Json Fabric::syncBody()
+{
+    BootTime now = BootClock::now();
+    Json body { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubStart },
+        { "stamp", m_hubStamp }, { "configuration", m_configurationRevision },
+        { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
+    if (!m_demandSource)
+        return body;
+    Json waiting = Json::array();
+    Json rates = Json::array();
+    for (const auto& [key, row] : m_demandSource()) {
+        if (row.waiting > 0 || row.running > 0)
+            waiting.push_back(
+                { key.service, key.model, key.adapter, row.waiting, row.worth, row.reading, row.running });
+        if (row.rate > 0)
+            rates.push_back({ key.service, key.model, key.adapter, row.rate });
+    }
+    if (!waiting.empty())
+        body["waiting"] = std::move(waiting);
+    if (now - m_ratesSentAt >= ratesInterval) {
+        body["rates"] = std::move(rates);
+        m_ratesSentAt = now;
+    }
+    return body;
+}
+
+bool Fabric::syncWith(const base::Address& address, bool isHub)
+{
+    BootTime askedAt = BootClock::now();
+    m_lastSync = askedAt;
+    Json body = isHub ? syncBody() : Json { { "configuration", m_configurationRevision } };
+    if (isHub) {
+        Json unused = Json::object();
+        for (auto& [account, share] : m_grants.shares) {
+            // A grant that has not been spent since the last call goes back.
+            if (share.granted > 0)
+                unused[account] = std::exchange(share.granted, 0);
+        }
+        if (!unused.empty())
+            body["unused"] = std::move(unused);
+        Json spent = Json::object();
+        for (auto& [account, share] : m_grants.shares) {
+            if (share.spent > 0)
+                spent[account] = std::exchange(share.spent, 0);
+        }
+        if (!spent.empty())
+            body["spent"] = std::move(spent);
+    }
+    net::PeerResult result = m_peers->call(address, "sync", body, base::Clock::now() + m_options.syncTime);
+    if (result.error != net::PeerError::None || !result.body.is_object())
+        return false;
+    try {
+        if (isHub && !result.body.value("hub", false))
+            return false;
+        takeSync(result.body, askedAt, isHub);
+    } catch (const std::exception& error) {
+        base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
+            { { "peer", base::formatAddress(address) }, { "why", error.what() } });
+        return false;
+    }
+    return true;
+}
+
+void Fabric::takeSync(const Json& body, BootTime askedAt, bool isHub)
+{
+    if (!body.contains("age_us"))
+        return;
+    BootTime provenAt = askedAt - base::Micros(body.at("age_us").get<int64_t>());
+    if (body.contains("configuration_value")) {
+        const auto& bytes = body.at("configuration_value").get_binary();
+        auto value = base::decompress({ reinterpret_cast<const char*>(bytes.data()), bytes.size() });
+        if (!value)
+            throw std::runtime_error("the configuration is not compressed as expected");
+        takeConfiguration(*value, body.at("configuration").get<int64_t>());
+    }
+    uint64_t before = m_directory.stamp;
+    // Older knowledge must not bring back replicas that have gone since.
+    bool isNewer = provenAt >= m_provenAt;
+    if (isNewer || isHub) {
+        std::vector<directory::RawEntry> entries;
+        std::set<std::string> present;
+        for (const Json& row : body.at("entries")) {
+            entries.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<int64_t>() });
+            present.insert(entries.back().key);
+        }
+        std::vector<std::string> removed;
+        if (isNewer) {
+            removed = body.at("removed").get<std::vector<std::string>>();
+            if (body.at("whole").get<bool>()) {
+                for (const auto& [id, replica] : m_directory.replicas) {
+                    if (!present.contains(m_dialect.entryPrefix + id))
+                        removed.push_back(id);
+                }
+            }
+        }
+        noteFaults(directory::directoryApplyChanges(m_directory, m_dialect, entries, removed));
+    }
+    for (const Json& row : body.at("placed")) {
+        auto found = m_directory.replicas.find(row.at(0).get<std::string>());
+        if (found == m_directory.replicas.end() || found->second.entry.bornMillis != row.at(1).get<int64_t>())
+            continue;
+        std::vector<gateway::HeldModel> models;
+        for (const Json& model : row.at(2))
+            models.push_back({ model.at(0).get<std::string>(), model.at(1).get<std::vector<std::string>>() });
+        found->second.placed = std::move(models);
+        found->second.coming.clear();
+        for (const Json& coming : row.at(3))
+            found->second.coming.push_back({ coming.at(0).get<std::string>(),
+                askedAt + base::Millis(coming.at(1).get<int64_t>()), coming.at(2).get<bool>() });
+        found->second.stamp = ++m_directory.stamp;
+    }
+    for (const Json& row : body.at("loads")) {
+        auto found = m_directory.replicas.find(row.at(0).get<std::string>());
+        if (found == m_directory.replicas.end() || found->second.entry.bornMillis != row.at(1).get<int64_t>())
+            continue;
+        gateway::ReplicaReport report;
+        report.bornMillis = row.at(1).get<int64_t>();
+        report.running = row.at(2).get<double>();
+        report.waiting = row.at(3).get<double>();
+        report.models = directory::replicaModels(found->second);
+        directory::directoryApplyReport(
+            m_directory, row.at(0).get<std::string>(), report, askedAt - base::Millis(row.at(4).get<int64_t>()));
+    }
+    m_outlook.clear();
+    for (const Json& row : body.at("outlook"))
+        m_outlook[{ row.at(0).get<std::string>(), row.at(1).get<std::string>() }]
+            = askedAt + base::Millis(row.at(2).get<int64_t>());
+    if (isHub) {
+        if (m_hubStart != body.at("start").get<std::string>())
+            m_ratesSentAt = {}; // a new hub knows no rates
+        m_hubStart = body.at("start").get<std::string>();
+        m_hubStamp = body.at("stamp").get<uint64_t>();
+        m_memberCount = body.at("members").get<size_t>();
+        m_grants.calm.clear();
+        for (auto& [account, isCalm] : body.at("calm").items())
+            m_grants.calm[account] = isCalm.get<bool>();
+        m_grants.hubWordAt = askedAt;
+        if (body.contains("addresses")) {
+            m_memberAddresses.clear();
+            for (auto& [name, address] : body.at("addresses").items()) {
+                if (auto parsed = base::parseAddress(address.get<std::string>()))
+                    m_memberAddresses[name] = *parsed;
+            }
+        }
+    } else if (body.contains("hub_address") && !m_storeIsReachable) {
+        if (auto address = base::parseAddress(body.at("hub_address").get<std::string>()))
+            m_hub = HubRecord { "", *address, "", 0, 0, 0 };
+    }
+    m_provenAt = std::max(m_provenAt, provenAt);
+    if (m_directory.stamp != before)
+        notify();
+}
+
+// For a daemon that reaches neither the store nor the hub: any other may know more.
+bool Fabric::askAnybody()
+{
+    if (!m_peers || m_memberAddresses.empty())
+        return false;
+    size_t skip = base::stableHash(base::randomBytes(4)) % m_memberAddresses.size();
+    auto chosen = std::next(m_memberAddresses.begin(), static_cast<std::ptrdiff_t>(skip));
+    if (chosen->first == m_options.name)
+        return false;
+    return syncWith(chosen->second, false);
+}
+
+// ---- Usage -------------------------------------------------------------------------------------
+
+bool Fabric::quotaTake(const gateway::Account& account, double tokens)
+{
+    if (account.rate <= 0)
+        return true;
+    BootTime now = BootClock::now();
+    quota::AccountLimit limit = limitOf(account);
+    if (m_isHub && now < m_leaseUntil)
+        return quota::bookTake(m_grantBook, account.name, limit, tokens, now);
+    if (quota::grantSpend(m_grants, account.name, tokens))
+        return true;
+    if (m_hub && m_hubAnswers && m_peers) {
+        net::PeerResult result = m_peers->call(m_hub->address, "grant",
+            Json { { "account", account.name }, { "need", tokens } }, base::Clock::now() + grantWait);
+        if (result.error == net::PeerError::None && result.body.is_object() && result.body.value("hub", false)) {
+            double granted = result.body.value("tokens", 0.0);
+            m_grants.shares[account.name].granted += granted;
+            return quota::grantSpend(m_grants, account.name, tokens);
+        }
+    }
+    base::counterAdd("quota_decided_alone_total");
+    if (quota::grantSpendCalm(m_grants, account.name, limit, tokens, memberCount(), BootClock::now()))
+        return true;
+    double luck = static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
+    return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), luck, BootClock::now());
+}
+
+quota::AccountLimit Fabric::limitOf(const gateway::Account& account) const
+{
+    return { account.rate, account.burst, m_options.quotaSlack };
+}
+
+// Counts what was let through without a hub.
+void Fabric::chargeSpent(const std::string& account, double tokens)
+{
+    if (!m_configuration || tokens <= 0)
+        return;
+    auto found = m_configuration->accounts.find(account);
+    if (found != m_configuration->accounts.end())
+        quota::bookCharge(m_grantBook, account, limitOf(found->second), tokens, BootClock::now());
+}
+
+void Fabric::quotaGiveBack(const std::string& account, double tokens)
+{
+    if (m_isHub)
+        quota::bookGiveBack(m_grantBook, account, tokens);
+    else
+        m_grants.shares[account].granted += tokens;
+}
+
+} // namespace rattanshunt::fabric
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -37,6 +37,7 @@
     base::Millis adapterTime { 20 };         // until an accepted adapter can be used
     base::Millis settleTime { 1800 };        // after a takeover, until the members' rates are known
     base::Millis readingTime { 1500 };       // over which requests without a first byte are smoothed
+    double readingLeast = 0.01;              // requests without a first byte below which a model is forgotten
     base::Millis firstJobs { 1200 };         // until models are ready, counted from when orders are allowed
     double storeLoadsAtOnce = 4;             // of the weight store at full speed, until it is measured
     PlanOptions plan;
--- /dev/null
+++ b/tests/ModelTests.cpp
@@ -0,0 +1,247 @@
+// Placement of models and usage of accounts, each replaying the load that it answers.
+#include <random>
+
+#include "Support.h"
+#include "models/Planner.h"
+#include "models/StoreSpeed.h"
+#include "quota/Grants.h"
+
+using namespace rattanshunt;
+using namespace rattanshunt::gateway;
+
+namespace {
+
+base::BootTime bootAt(double millis)
+{
+    return base::BootTime {} + base::Seconds(1000)
+        + std::chrono::duration_cast<base::BootClock::duration>(base::durationOf(millis / 1000));
+}
+
+} // namespace
+
+// ---- Models -------------------------------------------------------------------------------------
+
+namespace {
+
+// Replicas of 100 MB and models of 40 MB: two models fit.
+struct Shelf {
+    Engine engine;
+    models::PlanInput input;
+
+    Shelf()
+    {
+        engine.weightsMb = 100;
+        engine.adapterPlaces = 2;
+        for (std::string name : { "m1", "m2", "m3", "m4", "m5" }) {
+            ModelSpec spec;
+            spec.name = name;
+            spec.weightsMb = 40;
+            spec.adapterMb = 1;
+            engine.models[name] = spec;
+        }
+        input.engine = &engine;
+        input.service = "s";
+        input.storeLoadsLeft = 4;
+    }
+    models::PlanReplica& add(const std::string& id, const std::vector<std::string>& held)
+    {
+        models::PlanReplica replica;
+        replica.id = id;
+        for (const std::string& model : held)
+            replica.held.push_back({ model, {} });
+        input.replicas.push_back(replica);
+        return input.replicas.back();
+    }
+    fabric::Demand& demand(const std::string& model, const std::string& adapter = "")
+    {
+        return input.demand[{ "s", model, adapter }];
+    }
+    models::Plan plan() const { return models::planJobs(input, {}); }
+};
+
+} // namespace
+
+Test(planner, a_missing_model_goes_where_it_is_on_disk_and_takes_the_place_that_is_asked_for_least)
+{
+    Shelf shelf;
+    shelf.add("a", { "m1", "m2" });
+    shelf.add("b", { "m3", "m4" }).onDisk = { "m5" };
+    shelf.demand("m1").rate = 5;
+    shelf.demand("m3").rate = 2;
+    shelf.demand("m5") = { 1, 1, 0, 0, 0.1 };
+    models::Plan plan = shelf.plan();
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.jobs[0].replica, "b");
+    cr_assert_eq(plan.jobs[0].unloadModels, std::vector<std::string> { "m4" });
+    cr_assert(!plan.jobs[0].fromStore);
+}
+
+Test(planner, the_only_copy_that_others_wait_for_stays_and_the_most_wanted_model_goes_first)
+{
+    Shelf shelf;
+    shelf.add("a", { "m1", "m2" });
+    shelf.demand("m1") = { 2, 2, 0, 0, 1 };
+    shelf.demand("m2") = { 2, 2, 0, 0, 1 };
+    shelf.demand("m3") = { 1, 1, 0, 0, 1 };
+    shelf.demand("m4") = { 3, 3, 0, 0, 1 };
+    models::Plan plan = shelf.plan();
+    cr_assert(plan.jobs.empty());
+    cr_assert_eq(plan.missing, (std::vector<std::string> { "m4", "m3" }));
+    shelf.demand("m2").waiting = 0;
+    plan = shelf.plan();
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.jobs[0].model, "m4");
+    cr_assert_eq(plan.jobs[0].unloadModels, std::vector<std::string> { "m2" });
+}
+
+Test(planner, a_new_hub_unloads_nothing_and_the_store_is_not_asked_for_more_than_it_serves)
+{
+    Shelf shelf;
+    for (const char* id : { "a", "b", "c" })
+        shelf.add(id, { "m1", "m2" });
+    for (const char* model : { "m3", "m4", "m5" })
+        shelf.demand(model) = { 1, 1, 0, 0, 1 };
+    shelf.input.mayUnload = false;
+    cr_assert(shelf.plan().jobs.empty());
+    shelf.input.mayUnload = true;
+    shelf.input.storeLoadsLeft = 1;
+    models::Plan plan = shelf.plan();
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.missing.size(), 2);
+}
+
+Test(planner, a_model_whose_callers_wait_for_their_first_byte_gets_another_copy)
+{
+    Shelf shelf;
+    shelf.add("a", { "m1", "m2" });
+    shelf.add("b", { "m3", "m4" }).onDisk = { "m1" };
+    shelf.demand("m1") = { 0, 0, 0.5, 0, 5 };
+    cr_assert(shelf.plan().jobs.empty());
+    shelf.demand("m1").reading = 9;
+    models::Plan plan = shelf.plan();
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.jobs[0].replica, "b");
+    cr_assert_eq(plan.jobs[0].model, "m1");
+}
+
+Test(planner, room_that_a_crash_left_is_filled_from_disk_before_anybody_asks)
+{
+    Shelf shelf;
+    shelf.add("a", { "m1", "m2" });
+    shelf.add("b", {}).onDisk = { "m3", "m1" };
+    shelf.demand("m1").rate = 0.1;
+    shelf.demand("m3").rate = 0.1;
+    models::Plan plan = shelf.plan();
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.jobs[0].model, "m3");
+}
+
+Test(planner, an_adapter_takes_the_place_of_the_one_that_is_asked_for_least)
+{
+    Shelf shelf;
+    models::PlanReplica& replica = shelf.add("a", { "m1" });
+    replica.held[0].adapters = { "a1", "a2" };
+    shelf.demand("m1", "a1").rate = 3;
+    shelf.demand("m1", "a2").rate = 0.2;
+    shelf.demand("m1", "a3") = { 1, 1, 0, 0, 0.1 };
+    models::Plan plan = shelf.plan();
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.jobs[0].adapter, "a3");
+    cr_assert_eq(plan.jobs[0].unloadAdapters[0].adapters[0], "a2");
+}
+
+Test(planner, never_plans_more_than_fits, .timeout = 30)
+{
+    std::mt19937 random(11);
+    for (int round = 0; round < 400; ++round) {
+        Shelf shelf;
+        for (int i = 0; i < 4; ++i) {
+            models::PlanReplica& replica = shelf.add("r" + std::to_string(i), {});
+            for (auto& [name, spec] : shelf.engine.models) {
+                if (replica.held.size() < 2 && random() % 2)
+                    replica.held.push_back({ name, {} });
+                if (random() % 2)
+                    replica.onDisk.insert(name);
+            }
+            replica.isEngaged = random() % 4 == 0;
+        }
+        for (auto& [name, spec] : shelf.engine.models)
+            shelf.demand(name) = { static_cast<double>(random() % 3), 1, static_cast<double>(random() % 8), 0, 0.1 };
+        std::set<std::string> engaged;
+        for (const models::PlanJob& job : shelf.plan().jobs) {
+            cr_assert(engaged.insert(job.replica).second);
+            for (const models::PlanReplica& replica : shelf.input.replicas) {
+                if (replica.id != job.replica)
+                    continue;
+                cr_assert(!replica.isEngaged);
+                double after = 40 * (1 + static_cast<double>(replica.held.size() - job.unloadModels.size()));
+                cr_assert_leq(after, shelf.engine.weightsMb);
+            }
+        }
+    }
+}
+
+Test(store_speed, finds_the_number_of_loads_that_run_at_full_speed)
+{
+    for (double real : { 2.0, 4.0, 8.0 }) {
+        models::StoreSpeed speed;
+        for (int i = 0; i < 60; ++i) {
+            double crowd = std::max(1.0, std::floor(speed.atOnce));
+            models::storeSpeedNote(speed, crowd, std::max(1.0, crowd / real));
+        }
+        cr_assert_geq(speed.atOnce, real - 0.5);
+        cr_assert_leq(speed.atOnce, real * models::storeSpeedSlack + 1);
+    }
+}
+
+// ---- Usage --------------------------------------------------------------------------------------
+
+Test(grants, the_book_admits_burst_and_rate_in_every_window_and_not_more)
+{
+    quota::GrantBook book;
+    quota::AccountLimit limit { 100, 300, 0 };
+    std::mt19937 random(3);
+    std::deque<std::pair<base::BootTime, double>> taken;
+    double sum = 0;
+    for (int tick = 0; tick < 60000; ++tick) {
+        base::BootTime now = bootAt(tick);
+        double tokens = 1 + static_cast<double>(random() % 60);
+        if (quota::bookTake(book, "a", limit, tokens, now)) {
+            taken.push_back({ now, tokens });
+            sum += tokens;
+        }
+        while (!taken.empty() && taken.front().first <= now - base::Seconds(8)) {
+            sum -= taken.front().second;
+            taken.pop_front();
+        }
+        cr_assert_leq(sum, 300 + 8 * 100 + 1e-6);
+    }
+    cr_assert_gt(sum, 8 * 100 - 60);
+}
+
+Test(grants, without_a_hub_a_hot_account_stays_within_the_slack_and_a_calm_one_is_let_through)
+{
+    constexpr size_t members = 19;
+    quota::AccountLimit limit { 30000, 69000, 110000 };
+    std::mt19937 random(5);
+    std::vector<quota::LocalGrants> daemons(members);
+    double sum = 0;
+    // An account at seven times its rate for two seconds, no daemon knows anything of it.
+    for (int tick = 0; tick < 2000; tick += 43) {
+        double luck = static_cast<double>(random() % 1000) / 1000;
+        if (quota::grantSpendAlone(daemons[random() % members], "a", limit, 9200, members, luck, bootAt(tick)))
+            sum += 9200;
+    }
+    // What the window holds beyond rate and burst: a tenth of both and the slack.
+    cr_assert_leq(sum, 2 * limit.rate + 0.1 * (8 * limit.rate + limit.burst) + limit.slack);
+    cr_assert_gt(sum, limit.rate);
+
+    quota::LocalGrants calm;
+    calm.calm["a"] = true;
+    calm.hubWordAt = bootAt(0);
+    cr_assert(quota::grantSpendCalm(calm, "a", limit, 9200, members, bootAt(1000)));
+    cr_assert(!quota::grantSpendCalm(calm, "a", limit, 9200, members, bootAt(6000)));
+    for (int i = 0; i < 10; ++i)
+        quota::grantSpendCalm(calm, "a", limit, 9200, members, bootAt(1500));
+    cr_assert_leq(calm.shares["a"].spent, quota::calmShares * (limit.rate * 5 + limit.burst / 2) / members);
+}
