--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -100,7 +100,7 @@
         if (!m_reading.contains(key))
             m_reading[key] = part * value;
     }
-    std::erase_if(m_reading, [](auto& item) { return item.second < m_options.readingLeast; });
+    std::erase_if(m_reading, [this](auto& item) { return item.second < m_options.readingLeast; });
     for (auto& [key, value] : m_reading)
         demand[{ key.first, key.second, "" }].reading = value;
 }
