Leave out replicas that fall silent before their entries lapse

Change: the hub's reports tell of silence within 1.3 s; members leave the replica out unless it has answered them within 2 s, and its models count as missing.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -53,6 +53,7 @@
             replica.hasReport = false;
             replica.placed.reset();
             replica.coming.clear();
+            replica.isSilent = false;
         }
         replica.entry = std::move(*entry);
         replica.revision = raw.revision;
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -42,6 +42,7 @@
     // From whoever gives the orders; beside the report, which lags.
     std::optional<std::vector<gateway::HeldModel>> placed; // what may be used now
     std::vector<ComingModel> coming;
+    bool isSilent = false; // does not answer whoever gives the orders; it may still answer others
 };
 
 struct RawEntry {
--- a/src/fabric/FabricHub.cpp
+++ b/src/fabric/FabricHub.cpp
@@ -259,7 +259,7 @@
             Json coming = Json::array();
             for (const directory::ComingModel& model : replica.coming)
                 coming.push_back({ model.model, ageMillis(model.readyAt, now), model.isSure });
-            placed.push_back({ id, replica.entry.bornMillis, models, coming });
+            placed.push_back({ id, replica.entry.bornMillis, models, coming, replica.isSilent });
         }
         if (replica.hasReport)
             loads.push_back({ id, replica.entry.bornMillis, replica.report.running, replica.report.waiting,
--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -121,6 +121,7 @@
         for (const Json& model : row.at(2))
             models.push_back({ model.at(0).get<std::string>(), model.at(1).get<std::vector<std::string>>() });
         found->second.placed = std::move(models);
+        found->second.isSilent = row.at(4).get<bool>();
         found->second.coming.clear();
         for (const Json& coming : row.at(3))
             found->second.coming.push_back({ coming.at(0).get<std::string>(),
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -37,6 +37,7 @@
     WaitOptions waiting;
     base::Millis sweepInterval { 1000 };   // between two looks for idle connections
     base::Millis troubleHalfLife { 2500 }; // of a replica's failures
+    base::Millis goodTime { 2000 }; // after a whole answer, for which a replica that is silent to the hub is used on
     RepeatBudgetOptions repeats;
     ReplicaChoiceOptions engineChoice;
     ReplicaChoiceOptions plainChoice;
@@ -77,6 +78,7 @@
         base::BootTime reportedAt {};
         double trouble = 0;
         base::BootTime troubleAt {};
+        base::BootTime goodAt {}; // the last whole answer
     };
 
     struct Refusal {
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -37,7 +37,7 @@
 {
     ReplicaUse& use = m_uses[replica.entry.id];
     if (use.bornMillis != replica.entry.bornMillis) {
-        use = { replica.entry.bornMillis, use.ownNow, 0, use.unread, 0, 0, {}, 0, {} };
+        use = { replica.entry.bornMillis, use.ownNow, 0, use.unread, 0, 0, {}, 0, {}, {} };
         m_channels.forget(replica.entry.address);
     }
     if (replica.hasReport && replica.reportAt > use.reportedAt) {
@@ -71,6 +71,8 @@
             continue;
         if (isEngine && !directory::replicaHolds(replica, session.head.model, session.head.adapter, now))
             continue;
+        if (replica.isSilent && now - useOf(replica).goodAt > m_options.goodTime)
+            continue;
         isHeldSomewhere = true;
         if (tried.contains(id))
             continue;
@@ -205,6 +207,8 @@
         use.reportedAt = now;
         use.ownThen = use.ownNow;
     }
+    if (result.end == AttemptEnd::Whole)
+        use.goodAt = now;
     double trouble = troubleOf(use, now);
     use.trouble = result.isTrouble && !session.isGone ? trouble + 1
         : result.end == AttemptEnd::Whole             ? trouble * 0.6
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -129,6 +129,7 @@
         if (!follow || follow->bornMillis != replica.entry.bornMillis) {
             follow = std::make_shared<Follow>();
             follow->bornMillis = replica.entry.bornMillis;
+            follow->answeredAt = now;
         }
         if (follow->isAsking || follow->isEngaged || now - follow->askedAt < m_options.reportInterval)
             continue;
@@ -159,6 +160,7 @@
     std::optional<gateway::ReplicaReport> report;
     if (result.error == net::HttpCallError::None)
         report = m_dialect.readReport(result.response);
+    noteSilence(id, *follow, report.has_value());
     if (!report) {
         base::counterAdd("replica_reports_missing_total");
         return false;
@@ -190,6 +192,25 @@
     return true;
 }
 
+// A replica that crashed says nothing, and its entry stays for some heartbeats. Members learn here that it is silent,
+// and its models are brought elsewhere.
+void Placer::noteSilence(const std::string& id, Follow& follow, bool hasAnswered)
+{
+    follow.missed = hasAnswered ? 0 : follow.missed + 1;
+    if (hasAnswered)
+        follow.answeredAt = follow.askedAt;
+    auto replica = m_fabric.directory().replicas.find(id);
+    if (replica == m_fabric.directory().replicas.end())
+        return;
+    bool isSilent = follow.missed >= 2 && BootClock::now() - follow.answeredAt > m_options.silentTime;
+    if (isSilent == replica->second.isSilent)
+        return;
+    base::logEvent(isSilent ? LogLevel::Warning : LogLevel::Info, isSilent ? "replica.silent" : "replica.answers",
+        { { "replica", id }, { "missed_reports", follow.missed } });
+    replica->second.isSilent = isSilent;
+    m_fabric.placementChanged(id);
+}
+
 void Placer::publish(const std::string& id)
 {
     auto replica = m_fabric.directory().replicas.find(id);
@@ -225,7 +246,7 @@
     for (const auto& [id, replica] : m_fabric.directory().replicas) {
         auto follow = m_follows.find(id);
         if (replica.entry.service != service.name || !directory::replicaIsUsable(replica) || follow == m_follows.end()
-            || !follow->second->isSettled)
+            || !follow->second->isSettled || replica.isSilent)
             continue;
         const Follow& known = *follow->second;
         PlanReplica view;
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -28,6 +28,7 @@
     base::Millis loadSlack { 25 };           // beyond the time of a load from disk or memory
     base::Millis reportInterval { 600 };     // between two reports of a replica that is not engaged
     base::Millis reportTime { 400 };         // for one report
+    base::Millis silentTime { 1300 };        // without a report, after which a replica counts as silent
     base::Millis orderTime { 800 };          // for the answer to an order
     base::Millis followInterval { 60 };      // between two reports while an order is under way
     base::Seconds followTime { 20 };         // after which a job is given up
@@ -60,6 +61,8 @@
         bool isOrdering = false;              // an order is on its way
         base::BootTime orderedAt {};          // when the last order was answered, or given up
         bool isAsking = false;                // a report is under way
+        int missed = 0;                       // reports in a row that did not come
+        base::BootTime answeredAt {};         // when the last report was asked for that came
         int64_t ordersTaken = 0;              // at least; by reports and accepted orders
         base::BootTime askedAt {};            // for the last report
         std::string coming;                   // model on its way
@@ -73,6 +76,7 @@
     void beginHub();
     void askReports(base::BootTime now);
     bool askReport(const std::string& id);
+    void noteSilence(const std::string& id, Follow&, bool hasAnswered);
     void planService(const gateway::Service&, const fabric::DemandTable&, base::BootTime now,
         std::map<fabric::ModelKey, base::BootTime>& outlook);
     void runJob(PlanJob);
--- a/tests/GatewayTests.cpp
+++ b/tests/GatewayTests.cpp
@@ -231,6 +231,23 @@
     });
 }
 
+// A replica that crashed stays in the list for some heartbeats. Callers do not wait for its silence one by one, and
+// what only it held is brought to another.
+Test(gateway, a_replica_that_falls_silent_is_left_out_and_its_models_come_elsewhere, .timeout = 30)
+{
+    tests::onLoop([](net::Loop& loop) {
+        Site site(loop);
+        net::sleepFor(base::Millis(700));
+        cr_assert_eq(site.call("/stream/", "first", "m2").status, 200);
+        size_t holder = site.engine[0]->held().contains("m2") ? 0 : 1;
+        site.engine[holder]->stop();
+        net::sleepFor(base::Millis(2600));
+        CallerAnswer answer = site.call("/stream/", "second", "m2");
+        cr_assert_eq(answer.status, 200);
+        cr_assert(site.engine[1 - holder]->held().contains("m2"));
+    });
+}
+
 // msc-notices-grown trouble-2 --seed 505149596634: an unload that was accepted is not done while the adapter is in use.
 Test(gateway, an_adapter_in_use_keeps_its_place_until_its_runs_have_ended, .timeout = 30)
 {
