Give each port of the soak once

Cause (finding of a soak while three ran beside each other): a port that was closed at once after its choice was given again, and a daemon served callers and metrics on it, as both share the port with SO_REUSEPORT.

--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -35,12 +35,28 @@
     constexpr double recoveredPart = 0.9;
     constexpr const char* keys[] = { "secret-1", "secret-2" };
 
+    // Below the system's own range, so that no outgoing connection takes a port between the choice and the daemon's
+    // start.
+    constexpr uint16_t portFirst = 20000;
+    constexpr uint16_t portCount = 12000;
+
+    // A port that is free now and was not given before. Daemons share their ports with SO_REUSEPORT, so that one which
+    // was given twice would serve two purposes in silence.
     uint16_t freePort()
     {
         using Tcp = boost::asio::ip::tcp;
-        boost::asio::io_context context;
-        Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        return acceptor.local_endpoint().port();
+        static std::mt19937 random(static_cast<unsigned>(getpid()));
+        static std::set<uint16_t> given;
+        while (true) {
+            auto port = static_cast<uint16_t>(portFirst + random() % portCount);
+            boost::asio::io_context context;
+            Tcp::acceptor acceptor(context);
+            boost::system::error_code error;
+            acceptor.open(Tcp::v4(), error);
+            acceptor.bind({ boost::asio::ip::address_v4::loopback(), port }, error);
+            if (!error && given.insert(port).second)
+                return port;
+        }
     }
 
     struct Process {
