Answer 502 when the budget for repeats is spent after an attempt that may have run

Cause: retry_budget_spent has an unknown outcome and answered 503, which promises that the request has not run.

Change: 502; a test over all reasons failed before ("retry_budget_spent answers 503") and allows no unknown outcome a status that promises.

--- a/src/entry/Outcome.cpp
+++ b/src/entry/Outcome.cpp
@@ -39,7 +39,7 @@
             "no endpoint could be reached" },
         { Reason::EndpointLost, "endpoint_lost", 502, unknown, Millis(500), false,
             "the endpoint's answer was lost or cut" },
-        { Reason::RetryBudgetSpent, "retry_budget_spent", 503, unknown, Millis(2000), false,
+        { Reason::RetryBudgetSpent, "retry_budget_spent", 502, unknown, Millis(2000), false,
             "the endpoint failed and too many requests are being repeated already" },
         { Reason::ClaimUnavailable, "claim_unavailable", 503, refused, Millis(1000), false,
             "the call's claim could not be written" },
--- a/src/models/PlacerJobs.cpp
+++ b/src/models/PlacerJobs.cpp
@@ -168,7 +168,7 @@
     if (!connection || !connection->isReusable()) {
         connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
         if (connection->connect(deadline) != net::HttpCallError::None)
-            return OrderAnswer::Conflict;
+            return OrderAnswer::Conflict; // nothing was sent; the next try begins with a report, as after a conflict
     }
     // The connection may have taken long: the right to order is checked last.
     if (!m_fabric.mayOrder(BootClock::now()) || m_token != m_fabric.fencingToken())
--- a/tests/DecisionTests.cpp
+++ b/tests/DecisionTests.cpp
@@ -243,6 +243,16 @@
         "put the output of `rattanshunt settings` into docs/OPERATIONS.md");
 }
 
+// These statuses promise that the request has not run.
+Test(outcome, a_reason_of_unknown_outcome_never_promises_not_run)
+{
+    for (const entry::ReasonInfo& info : entry::reasonTable()) {
+        bool promises = info.status == 408 || info.status == 421 || info.status == 429 || info.status == 503;
+        if (info.outcome == entry::Outcome::Unknown)
+            cr_assert(!promises, "%s answers %d", info.name, info.status);
+    }
+}
+
 Test(outcome, the_interface_page_lists_every_reason)
 {
     std::ifstream file(std::string(SCENARIO_DIR) + "/../../docs/API.md");
