--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -65,11 +65,16 @@
             body["spent"] = std::move(spent);
     }
     net::PeerResult result = m_peers->call(address, "sync", body, base::Clock::now() + m_options.syncTime);
-    if (result.error != net::PeerError::None || !result.body.is_object())
+    bool isAnswered = result.error == net::PeerError::None && result.body.is_object()
+        && (!isHub || result.body.value("hub", false));
+    if (!isAnswered) {
+        // What was spent must reach a hub; told twice it is only counted twice.
+        Json untold = body.value("spent", Json::object());
+        for (auto& [account, tokens] : untold.items())
+            m_grants.shares[account].spent += tokens.get<double>();
         return false;
+    }
     try {
-        if (isHub && !result.body.value("hub", false))
-            return false;
         takeSync(result.body, askedAt, isHub);
     } catch (const std::exception& error) {
         base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -36,7 +36,7 @@
 // Time after the hub's last word for which a calm account is let through without it, up to `calmShares` times a
 // member's share of its rate over that time and of half of its burst: requests do not arrive at all daemons alike.
 constexpr base::Seconds calmTime { 5 };
-constexpr double calmShares = 3;
+constexpr double calmShares = 2;
 
 // Part of what a window may hold beyond rate and burst that daemons may use between them before they know a hub.
 constexpr double aloneExcessPart = 0.04;
