Give a stream without events its head

Also: a hub that knows no configuration yet tells of no accounts, which its members took for an unreadable answer.

--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -156,7 +156,9 @@
         m_hubStamp = body.at("stamp").get<uint64_t>();
         m_memberCount = body.at("members").get<size_t>();
         m_grants.calm.clear();
-        for (auto& [account, isCalm] : body.at("calm").items())
+        // A hub that knows no configuration yet tells of no accounts.
+        Json calm = body.value("calm", Json::object());
+        for (auto& [account, isCalm] : calm.items())
             m_grants.calm[account] = isCalm.get<bool>();
         m_grants.hubWordAt = askedAt;
         if (body.contains("addresses")) {
--- a/src/gateway/Session.cpp
+++ b/src/gateway/Session.cpp
@@ -95,6 +95,12 @@
         }
         if (!session.events.partial.empty())
             return ended(AttemptEnd::Unknown, "half_event", true);
+        // A stream without events, as for a caller that continues after the last one, still has a head.
+        if (!session.progress.hasPassedHead) {
+            session.progress.hasPassedHead = true;
+            if (!session.exchange.startStream(head.status, dialect.answerHeaders(head)))
+                return ended(AttemptEnd::Unknown, "caller_gone", false);
+        }
         return ended(AttemptEnd::Whole, "whole", false);
     }
 
--- a/tests/GatewayTests.cpp
+++ b/tests/GatewayTests.cpp
@@ -193,6 +193,13 @@
     tests::onLoop([](net::Loop& loop) {
         Site site(loop);
         cr_assert_eq(site.call("/stream/", "whole", "m1").body, events(1, 5));
+        // A caller that continues after the last event gets a whole answer without events.
+        net::HttpRequest last = labRequest("/stream/", "last", "m1");
+        last.headers.push_back({ "Last-Event-Id", "5" });
+        CallerAnswer nothing = site.fleet.call(*site.gateways[0], last);
+        cr_assert_eq(nothing.error, net::HttpCallError::None);
+        cr_assert_eq(nothing.status, 200);
+        cr_assert(nothing.body.empty());
         // The replica that the prompt's shared parts lead to breaks off after two events, the other one is sound.
         size_t preferred = site.engine[0]->book().runs.empty() ? 1 : 0;
         site.engine[preferred]->faults() = { ReplicaFault::Truncate, 2, 2 };
