Tell an account above its rate at once when its turn comes too late

Cause: the order of waiting had no bound. An account at five times its rate filled it until each request was granted just before its deadline, too late to be served, or refused at it. Change: a home says on the first question that a turn would come too late, with the time at which it would come; those ahead of a newcomer may take half of its time. The time goes to the caller as Retry-After. Test: an_account_at_five_times_its_rate_is_told_at_once_or_has_time_left; fails without the check of the turn.

--- a/src/budget/Borrower.cpp
+++ b/src/budget/Borrower.cpp
@@ -188,6 +188,9 @@
             BudgetItem item
                 = itemOf(borrower, waiting, waiting.isTaking ? ItemMode::TakeInOrder : ItemMode::Probe, now);
             item.tokens = partTokens(waiting);
+            item.patience = std::chrono::duration_cast<base::Micros>(waiting.request.deadline - now);
+            item.isNewcomer = !(waiting.askedSlots >> slot & 1);
+            waiting.askedSlots |= 1ull << slot;
             part.nextAsk = base::timeNever;
             builder.add(slot, std::move(item));
         }
@@ -235,11 +238,12 @@
         }
     }
 
-    void refuseExpired(Borrower& borrower, CallBuilder& builder, base::TimePoint now)
+    // Refuses requests whose time is over and those whose turn comes too late.
+    void refuseLate(Borrower& borrower, CallBuilder& builder, base::TimePoint now)
     {
         for (auto at = borrower.requests.begin(); at != borrower.requests.end();) {
             BorrowerRequest& waiting = at->second;
-            if (waiting.request.deadline > now) {
+            if (waiting.request.deadline > now && !waiting.isLate) {
                 ++at;
                 continue;
             }
@@ -248,6 +252,7 @@
             BudgetDecision decision;
             decision.id = at->first;
             decision.isUnreachable = !waiting.hasAnswer;
+            decision.retryAfter = waiting.turnIn;
             borrower.decisions.push_back(std::move(decision));
             at = borrower.requests.erase(at);
         }
@@ -283,6 +288,11 @@
     {
         if (waiting.parts.size() <= slot)
             return;
+        if (item.status == ItemStatus::Late) {
+            waiting.isLate = true;
+            waiting.turnIn = std::max(waiting.turnIn, item.retryAfter);
+            return;
+        }
         BorrowerPart& part = waiting.parts[slot];
         base::TimePoint sentAt = borrower.slots[slot].sentAt;
         part.isReady = item.status == ItemStatus::Ready || item.status == ItemStatus::Granted;
@@ -384,7 +394,7 @@
 std::vector<BorrowerCall> borrowerStep(Borrower& borrower, base::TimePoint now)
 {
     CallBuilder builder(borrower);
-    refuseExpired(borrower, builder, now);
+    refuseLate(borrower, builder, now);
     for (auto& [id, waiting] : borrower.requests) {
         if (waiting.isInFlight)
             continue;
@@ -444,7 +454,7 @@
 {
     base::TimePoint next = base::timeNever;
     for (auto& [id, waiting] : borrower.requests) {
-        next = std::min(next, waiting.request.deadline);
+        next = waiting.isLate ? now : std::min(next, waiting.request.deadline);
         if (waiting.isInFlight)
             continue;
         if (!waiting.isQueued)
--- a/src/budget/Borrower.h
+++ b/src/budget/Borrower.h
@@ -43,8 +43,9 @@
 struct BudgetDecision {
     uint64_t id = 0;
     bool isGranted = false;
-    bool isNever = false;       // more than the account's burst can ever hold
-    bool isUnreachable = false; // no home answered
+    bool isNever = false;          // more than the account's burst can ever hold
+    bool isUnreachable = false;    // no home answered
+    base::Micros retryAfter { 0 }; // of a refusal: when its turn would have come; 0: not known
     std::vector<Grant> grants;
     base::TimePoint validUntil {}; // check the clock before use
 };
@@ -70,6 +71,9 @@
     size_t leadsTried = 0;
     std::vector<BorrowerPart> parts; // by slot, once queued
     uint64_t partSlots = 0;          // a bit for each slot that gives a part
+    uint64_t askedSlots = 0;         // a bit for each slot that was asked for a part
+    bool isLate = false;             // a home said that its turn comes too late
+    base::Micros turnIn { 0 };       // as that home said
     bool isTaking = false;           // all parts were ready; takes are being sent
     bool hasAnswer = false;          // at least one home has answered
 };
--- a/src/budget/Home.cpp
+++ b/src/budget/Home.cpp
@@ -11,6 +11,9 @@
     constexpr base::Millis waiterGrace { 400 }; // a waiter that does not ask again for this long has given up
     constexpr base::Millis retryLeast { 5 };
     constexpr base::Millis retryMost { 100 };
+    constexpr base::Seconds turnNever { 3600 };
+    constexpr int newcomerDivisor
+        = 2; // part of a newcomer's time that those ahead of it may take; the rest is for service
     constexpr double extraFloor = 0.5; // extra is lent only from the upper half of the bucket
 
     HomeAccount* findAccount(Home& home, const std::string& name, const AccountLookup& lookup,
@@ -101,6 +104,25 @@
         answer.order = std::chrono::duration_cast<base::Micros>(arrival.time_since_epoch()).count();
     }
 
+    // How long it takes until `tokens` beyond `free` have come in.
+    base::Micros turnIn(const Bucket& bucket, double tokens, double free)
+    {
+        if (tokens <= free)
+            return base::Micros(0);
+        if (bucket.rate <= 0)
+            return std::chrono::duration_cast<base::Micros>(turnNever);
+        return std::chrono::duration_cast<base::Micros>(
+            std::min<base::Duration>(base::durationOf((tokens - free) / bucket.rate), turnNever));
+    }
+
+    bool isTurnTooLate(const Bucket& bucket, const BudgetItem& item, double free)
+    {
+        if (item.patience.count() <= 0)
+            return false;
+        return turnIn(bucket, item.tokens, free) > item.patience
+            || (item.isNewcomer && turnIn(bucket, 0, free) > item.patience / newcomerDivisor);
+    }
+
     void answerInOrder(HomeAccount& account, const BudgetItem& item, BudgetItemAnswer& answer, base::TimePoint now)
     {
         Bucket& bucket = account.bucket;
@@ -108,6 +130,12 @@
         double before = waitingTokens(account, item.order, item.waiter);
         double free = bucketLevel(bucket, now) - before;
         answer.level = free;
+        if (isTurnTooLate(bucket, item, free)) {
+            leaveQueue(account, item.waiter);
+            answer.status = ItemStatus::Late;
+            answer.retryAfter = turnIn(bucket, item.tokens, free);
+            return;
+        }
         if (free < item.tokens) {
             answer.retryAfter = retryTime(bucket, item.tokens - free);
             return;
@@ -207,7 +235,8 @@
     json items = json::array();
     for (const BudgetItem& item : call.items) {
         items.push_back({ item.ref, item.account, static_cast<int>(item.mode), item.tokens, item.extra,
-            static_cast<int>(item.value), item.waited.count(), item.order, item.waiter });
+            static_cast<int>(item.value), item.waited.count(), item.order, item.waiter, item.patience.count(),
+            item.isNewcomer });
     }
     json returns = json::array();
     for (const GiveBack& giveBack : call.returns)
@@ -230,6 +259,8 @@
         item.waited = base::Micros(entry.at(6).get<int64_t>());
         item.order = entry.at(7).get<int64_t>();
         item.waiter = entry.at(8).get<std::string>();
+        item.patience = base::Micros(entry.at(9).get<int64_t>());
+        item.isNewcomer = entry.at(10).get<bool>();
         call.items.push_back(std::move(item));
     }
     for (const json& entry : object.at("r"))
@@ -256,7 +287,7 @@
         BudgetItemAnswer item;
         item.ref = entry.at(0).get<uint64_t>();
         item.status
-            = static_cast<ItemStatus>(std::clamp(entry.at(1).get<int>(), 0, static_cast<int>(ItemStatus::Unknown)));
+            = static_cast<ItemStatus>(std::clamp(entry.at(1).get<int>(), 0, static_cast<int>(ItemStatus::Late)));
         item.tokens = entry.at(2).get<double>();
         item.take = entry.at(3).get<TakeNumber>();
         item.order = entry.at(4).get<int64_t>();
--- a/src/budget/Home.h
+++ b/src/budget/Home.h
@@ -15,6 +15,10 @@
 // gathered in equal parts from all homes: each home keeps the tokens of items that stand before others, so a large
 // request is not starved by small ones that always fit. Order is by arrival, with a head start for higher classes.
 //
+// Load pattern: one account at five times its rate. An order without a bound fills up until each request is granted
+// just before its deadline or refused at it. Here an item whose turn comes too late is told so when it first asks, and
+// those ahead of a newcomer may take half of its time at most, so that the granted ones have time left to be served.
+//
 // Pure; the caller's thread owns the data.
 #pragma once
 
@@ -67,9 +71,11 @@
     double tokens = 0; // needed
     double extra = 0;  // wanted beyond, if nobody waits (Take only)
     resources::ValueClass value = resources::ValueClass::Normal;
-    base::Micros waited { 0 }; // since the request arrived (Enqueue)
-    int64_t order = 0;         // place in the order, from Enqueue's answer
-    std::string waiter;        // identifies the waiting request in the fleet
+    base::Micros waited { 0 };   // since the request arrived (Enqueue)
+    int64_t order = 0;           // place in the order, from Enqueue's answer
+    std::string waiter;          // identifies the waiting request in the fleet
+    base::Micros patience { 0 }; // time that is left for waiting; 0: not limited (Probe, TakeInOrder)
+    bool isNewcomer = false;     // has not waited at this home yet
 };
 
 struct GiveBack {
@@ -91,6 +97,7 @@
     Wait,    // not now; `retryAfter` is set
     Never,   // needs more than the account's capacity
     Unknown, // no such account
+    Late,    // its turn would not come in time; it has no place any more, `retryAfter` tells when its turn would be
 };
 
 struct BudgetItemAnswer {
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -75,14 +75,14 @@
 {
     if (request.account.empty() || tokens <= 0)
         return {};
-    Wallet::Result result
+    Wallet::Answer answer
         = thread.wallet.acquire(request.account, tokens, value, request.arrivedAt, request.startBy, request.grants);
     request.reserved = tokens;
-    switch (result) {
+    switch (answer.result) {
     case Wallet::Result::Granted:
         return {};
     case Wallet::Result::Refused:
-        return { Reason::OverRate, "" };
+        return { Reason::OverRate, "", answer.retryAfter };
     case Wallet::Result::Never:
         return { Reason::OverBurst, fmt::format("{} tokens", tokens) };
     case Wallet::Result::Unreachable:
--- a/src/entry/Wallet.cpp
+++ b/src/entry/Wallet.cpp
@@ -66,20 +66,20 @@
     return true;
 }
 
-Wallet::Result Wallet::acquire(const std::string& name, double tokens, resources::ValueClass value,
+Wallet::Answer Wallet::acquire(const std::string& name, double tokens, resources::ValueClass value,
     base::TimePoint arrivedAt, base::TimePoint deadline, std::vector<Grant>& grants)
 {
     if (tokens <= 0)
-        return Result::Granted;
+        return {};
     noteDemand(m_accounts[name], tokens, base::Clock::now());
     while (true) {
         base::TimePoint now = base::Clock::now();
         AccountState& account = m_accounts[name];
         dropExpired(name, account, now);
         if (takeFromLots(account, tokens, now, grants))
-            return Result::Granted;
+            return {};
         if (now >= deadline)
-            return Result::Refused;
+            return { Result::Refused };
         struct Waiting {
             net::Event done;
             budget::BudgetDecision decision;
@@ -102,9 +102,10 @@
         waiting->done.waitUntil();
         const budget::BudgetDecision& decision = waiting->decision;
         if (decision.isNever)
-            return Result::Never;
+            return { Result::Never };
         if (!decision.isGranted)
-            return decision.isUnreachable ? Result::Unreachable : Result::Refused;
+            return { decision.isUnreachable ? Result::Unreachable : Result::Refused,
+                std::chrono::ceil<base::Millis>(decision.retryAfter) };
         // The clock is checked again at the top: late tokens are returned, not used.
         for (const Grant& grant : decision.grants)
             m_accounts[name].lots.push_back({ grant, decision.validUntil });
--- a/src/entry/Wallet.h
+++ b/src/entry/Wallet.h
@@ -23,8 +23,13 @@
 
     enum class Result { Granted, Refused, Never, Unreachable };
 
+    struct Answer {
+        Result result = Result::Granted;
+        base::Millis retryAfter { 0 }; // of a refusal: when the request's turn would have come; 0: not known
+    };
+
     // Gets `tokens` for one request; `grants` then names where they came from. Suspends until `deadline` at most.
-    Result acquire(const std::string& account, double tokens, resources::ValueClass, base::TimePoint arrivedAt,
+    Answer acquire(const std::string& account, double tokens, resources::ValueClass, base::TimePoint arrivedAt,
         base::TimePoint deadline, std::vector<budget::Grant>& grants);
 
     // Settles a request: of what was granted, `used` were used. More than granted is charged.
--- a/tests/BudgetTests.cpp
+++ b/tests/BudgetTests.cpp
@@ -274,14 +274,58 @@
     cr_assert(lonely.decisions[0].isUnreachable);
 }
 
+// One account at five times its rate, through four homes: what its requests see.
+Test(borrower, an_account_at_five_times_its_rate_is_told_at_once_or_has_time_left)
+{
+    constexpr base::Millis patience { 1500 };
+    constexpr base::Millis toldWithin { 150 };
+    constexpr double tokensEach = 20;
+    resources::Account acme = account(2000, 4000);
+    BudgetOptions options;
+    std::vector<Home> homes(options.slots, firstHome());
+    auto lookup = lookupOf(acme);
+    Borrower borrower = borrowerCreate(options, "d1", 0);
+    std::vector<base::TimePoint> arrivals;
+    size_t granted = 0;
+    size_t refused = 0;
+    constexpr double runMillis = 10000;
+    for (double now = 0; now < runMillis; now += 2) {
+        auto id = arrivals.size();
+        arrivals.push_back(at(now));
+        borrowerAdd(
+            borrower, { id, "acme", tokensEach, 0, resources::ValueClass::Normal, at(now), at(now) + patience });
+        for (BorrowerCall& call : borrowerStep(borrower, at(now)))
+            borrowerAnswer(
+                borrower, call.slot, homeAnswer(homes[call.slot], call.call, lookup, options, at(now)), at(now + 1));
+        for (const BudgetDecision& decision : std::exchange(borrower.decisions, {})) {
+            base::Duration waited = at(now + 1) - arrivals[decision.id];
+            if (decision.isGranted) {
+                ++granted;
+                cr_assert_lt(waited, patience * 2 / 3, "granted with less than a third of its time left");
+            } else {
+                ++refused;
+                cr_assert_lt(waited, toldWithin, "refused after a wait");
+                cr_assert_gt(decision.retryAfter.count(), 0);
+            }
+        }
+    }
+    // Nothing of the rate is lost by refusing early.
+    double possible = (acme.burst + acme.rate * runMillis / 1000) / tokensEach;
+    cr_assert_gt(static_cast<double>(granted), possible * 0.9);
+    cr_assert_gt(refused, granted);
+}
+
 Test(borrower, messages_survive_their_encoding)
 {
-    BudgetItem item { 9, "acme", ItemMode::Probe, 12.5, 3, resources::ValueClass::High, base::Micros(77), 5, "d1/9" };
+    BudgetItem item { 9, "acme", ItemMode::Probe, 12.5, 3, resources::ValueClass::High, base::Micros(77), 5, "d1/9",
+        base::Micros(1200), true };
     BudgetCall call { 4, { item }, { { "acme", -2.5, 3 } } };
     BudgetCall read
         = budgetCallFromJson(nlohmann::json::from_msgpack(nlohmann::json::to_msgpack(budgetCallToJson(call))));
     cr_assert_eq(read.items[0].ref, 9);
     cr_assert(read.items[0].mode == ItemMode::Probe);
+    cr_assert_eq(read.items[0].patience.count(), 1200);
+    cr_assert(read.items[0].isNewcomer);
     cr_assert_float_eq(read.returns[0].tokens, -2.5, 1e-9);
     BudgetAnswer answer { 4, { { 9, ItemStatus::Wait, 0, 0, 6, 1.5, base::Micros(900) } } };
     BudgetAnswer readAnswer = budgetAnswerFromJson(budgetAnswerToJson(answer));
