One plan for the attempts of all requests

Cause: completions, calls and the gateway each decided about repeats and refusals in a loop of their own. Change: the gateway's pure table moves to attempts/ and also decides for the product's own interface; one loop carries it out for completions and calls. A daemon that starts anew takes only what the safety part leaves of the constant part of the budget for repeats, for one window: its earlier start may have used its part.

--- a/src/attempts/RequestPlan.cpp
+++ b/src/attempts/RequestPlan.cpp
@@ -1,6 +1,6 @@
-#include "gateway/RequestPlan.h"
+#include "attempts/RequestPlan.h"
 
-namespace rattanshunt::gateway {
+namespace rattanshunt::attempts {
 
 bool refusalIsTrue(const RequestProgress& progress)
 {
@@ -21,7 +21,7 @@
     case AttemptEnd::Whole:
         return NextStep::Deliver;
     case AttemptEnd::NotRun:
-        return mayRepeat && progress.attemptsSent < progress.maxAttempts + refusalsMost ? NextStep::Repeat
+        return mayRepeat && progress.attemptsMade < progress.maxAttempts + refusalsMost ? NextStep::Repeat
                                                                                         : stepWithoutReplica(progress);
     case AttemptEnd::RanFailed:
         if (progress.hasPassedHead)
@@ -33,4 +33,10 @@
     return NextStep::Fail;
 }
 
-} // namespace rattanshunt::gateway
+void noteAttempt(RequestProgress& progress, AttemptEnd end)
+{
+    ++progress.attemptsMade;
+    progress.attemptsRun += end != AttemptEnd::NotRun;
+}
+
+} // namespace rattanshunt::attempts
--- a/src/attempts/RequestPlan.h
+++ b/src/attempts/RequestPlan.h
@@ -1,8 +1,11 @@
 // What happens to a request after each attempt: the one place that decides about repeats and refusals.
 //
 // Contents
-//   [1] Data            AttemptEnd, RequestProgress, NextStep
+//   [1] Data            RepeatKind, AttemptEnd, RequestProgress, NextStep
 //   [2] Decisions       stepAfterAttempt(), stepWithoutReplica(), refusalIsTrue()
+//   [3] Progress        noteAttempt()
+//
+// Both of the product's ways in use it: gateway/ for the platform's replicas, entry/ for the product's own interface.
 //
 // The table, by kind of repeat and by how the attempt ended:
 //
@@ -19,15 +22,16 @@
 // Pure; safe from any thread.
 #pragma once
 
-#include <cstdint>
-
-#include "base/Time.h"
-#include "gateway/Configuration.h"
-
-namespace rattanshunt::gateway {
+namespace rattanshunt::attempts {
 
 // ---- [1] Data ----------------------------------------------------------------------------------
 
+enum class RepeatKind {
+    Safe,      // may run more than once
+    Once,      // may run at most once for each request
+    Resumable, // a stream that another replica may continue after the last whole event
+};
+
 enum class AttemptEnd {
     Whole,     // a success came whole
     NotRun,    // surely not run: never sent, or the replica says so
@@ -38,7 +42,7 @@
 struct RequestProgress {
     RepeatKind repeat = RepeatKind::Once;
     int attemptsRun = 0;        // attempts that may have run
-    int attemptsSent = 0;       // attempts that reached a replica, refused ones too
+    int attemptsMade = 0;       // those that surely did not run, too
     int maxAttempts = 1;        //
     bool hasPassedHead = false; // the caller has got the head of a stream
 };
@@ -71,4 +75,9 @@
 // True while "has not run and will not run" may be said of the request.
 bool refusalIsTrue(const RequestProgress&);
 
-} // namespace rattanshunt::gateway
+// ---- [3] Progress ------------------------------------------------------------------------------
+
+// Counts an attempt that has ended.
+void noteAttempt(RequestProgress&, AttemptEnd);
+
+} // namespace rattanshunt::attempts
--- a/src/entry/ServeRoute.cpp
+++ b/src/entry/ServeRoute.cpp
@@ -2,21 +2,17 @@
 // caller gave an idempotency key.
 #include "base/Counters.h"
 #include "base/Log.h"
-#include "entry/RequestState.h"
+#include "entry/AttemptLoop.h"
 
 namespace rattanshunt::entry {
 
+using attempts::AttemptEnd;
+
 namespace {
 
     constexpr int attemptLimit = 3;
     constexpr size_t idempotencyKeyLimit = 256;
 
-    enum class CallResult {
-        Answered,
-        NotRun,
-        Broken,
-    };
-
     // Headers that go on to a service. The key and connection headers stay here.
     bool isPassedOn(const std::string& name)
     {
@@ -39,7 +35,7 @@
         return passed;
     }
 
-    CallResult callOnce(ThreadState& thread, RequestState& request, const resources::Route& route,
+    AttemptEnd callOnce(ThreadState& thread, RequestState& request, const resources::Route& route,
         const resources::EndpointInfo& endpoint, net::HttpResponse& response)
     {
         // A kept connection may be closed by the other side just now, which would leave the outcome open.
@@ -66,19 +62,19 @@
         request.sending = nullptr;
         guard.reset();
         if (!isSent)
-            return CallResult::NotRun;
+            return AttemptEnd::NotRun;
         if (error != net::HttpCallError::None)
-            return CallResult::Broken;
+            return AttemptEnd::Unknown;
         thread.pool.keep(std::move(connection));
         std::string_view echoed = net::httpHeader(response.headers, headerRequestId);
         if (!echoed.empty() && echoed != request.id) {
             base::counterAdd("service_answers_foreign_total");
-            return CallResult::Broken;
+            return AttemptEnd::Unknown;
         }
         // A service says with this header that it refused before it did anything.
         if (net::httpHeader(response.headers, "X-Not-Run") == "true")
-            return CallResult::NotRun;
-        return CallResult::Answered;
+            return AttemptEnd::NotRun;
+        return AttemptEnd::Whole;
     }
 
     bool respondWith(
@@ -95,43 +91,29 @@
     }
 
     // Sends the call, again only if nothing of it was run or if it may be repeated.
-    CallResult sendCall(ThreadState& thread, RequestState& request, const resources::Route& route,
-        const resources::Service& service, net::HttpResponse& response, RequestEnd& end)
+    AttemptsEnd sendCall(ThreadState& thread, RequestState& request, const resources::Route& route,
+        const resources::Service& service, net::HttpResponse& response, attempts::RequestProgress& progress)
     {
+        progress.repeat = route.isRepeatable ? attempts::RepeatKind::Safe : attempts::RepeatKind::Once;
+        progress.maxAttempts = route.isRepeatable ? attemptLimit : 1;
         std::set<std::string> avoided;
-        bool mayHaveRun = false;
-        end = { Reason::EndpointUnavailable, "" };
-        for (int attempt = 0; attempt < attemptLimit; ++attempt) {
+        return attemptsRun(thread, request, progress, [&]() -> Attempt {
             auto endpoint = thread.replicas.chooseService(
-                service.pool, base::stableHash(request.id, static_cast<uint64_t>(attempt)), avoided);
+                service.pool, base::stableHash(request.id, static_cast<uint64_t>(progress.attemptsMade)), avoided);
             if (!endpoint)
-                break;
+                return {};
             Reason reason = lastCheck(thread, request);
-            CallResult result = CallResult::NotRun;
+            AttemptEnd result = AttemptEnd::NotRun;
             if (reason == Reason::None) {
                 response = {};
                 result = callOnce(thread, request, route, *endpoint, response);
+                avoided.insert(endpoint->id);
             }
             endpoint->load->ownInFlight.fetch_sub(1, std::memory_order_relaxed);
-            if (reason != Reason::None) {
-                end = { mayHaveRun ? Reason::EndpointLost : reason, "" };
-                break;
-            }
-            if (result == CallResult::Answered)
-                return result;
-            avoided.insert(endpoint->id);
-            if (result == CallResult::NotRun)
-                continue;
-            mayHaveRun = true;
-            end = { request.isCallerGone ? Reason::CallerGone : Reason::EndpointLost, "" };
-            if (!route.isRepeatable || request.isCallerGone || base::Clock::now() >= request.deadline)
-                break;
-            if (!takeRetry(thread)) {
-                end = { Reason::RetryBudgetSpent, "" };
-                break;
-            }
-        }
-        return mayHaveRun ? CallResult::Broken : CallResult::NotRun;
+            if (reason != Reason::None)
+                return { .reason = reason };
+            return { result, true };
+        });
     }
 
     once::Claim claimFor(ThreadState& thread, const RequestState& request)
@@ -178,15 +160,14 @@
         if (decision.verdict != once::ClaimVerdict::Run)
             return answerClaimed(request, decision);
         net::HttpResponse response;
-        RequestEnd end;
-        CallResult result = sendCall(thread, request, route, service, response, end);
-        if (result == CallResult::NotRun) {
-            net::runOn(thread.backbone.control, [&] { thread.backbone.claims.abandon(kvKey, decision.revision); });
-            return end;
+        attempts::RequestProgress progress;
+        AttemptsEnd ended = sendCall(thread, request, route, service, response, progress);
+        if (ended.step != attempts::NextStep::Deliver) {
+            // A lost answer leaves the claim without an outcome: repeats are told so.
+            if (progress.attemptsRun == 0)
+                net::runOn(thread.backbone.control, [&] { thread.backbone.claims.abandon(kvKey, decision.revision); });
+            return ended.end;
         }
-        // A lost answer leaves the claim without an outcome: repeats are told so.
-        if (result == CallResult::Broken)
-            return end;
         claim.isDone = true;
         claim.status = response.status;
         claim.contentType = std::string(net::httpHeader(response.headers, "Content-Type"));
@@ -218,12 +199,12 @@
     if (!idempotencyKey.empty() && !route.isRepeatable)
         return serveClaimed(thread, request, route, service->second, idempotencyKey);
     net::HttpResponse response;
-    RequestEnd end;
-    CallResult result = sendCall(thread, request, route, service->second, response, end);
-    if (result != CallResult::Answered) {
-        if (result == CallResult::NotRun)
+    attempts::RequestProgress progress;
+    AttemptsEnd ended = sendCall(thread, request, route, service->second, response, progress);
+    if (ended.step != attempts::NextStep::Deliver) {
+        if (progress.attemptsRun == 0)
             request.used = 0;
-        return end;
+        return ended.end;
     }
     std::string contentType(net::httpHeader(response.headers, "Content-Type"));
     bool isDelivered = respondWith(request, response.status, contentType, std::move(response.body));
--- a/src/gateway/Configuration.h
+++ b/src/gateway/Configuration.h
@@ -16,17 +16,14 @@
 #include <unordered_map>
 #include <vector>
 
+#include "attempts/RequestPlan.h"
 #include "base/Time.h"
 
 namespace rattanshunt::gateway {
 
 // ---- [1] Data ----------------------------------------------------------------------------------
 
-enum class RepeatKind {
-    Safe,      // may run more than once
-    Once,      // may run at most once for each request
-    Resumable, // a stream that another replica may continue after the last whole event
-};
+using attempts::RepeatKind;
 
 struct ServiceWeight {
     std::string service;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -38,6 +38,7 @@
     , m_fabric(fabric)
     , m_channels(loop, m_options.channels)
 {
+    m_options.repeats.startedAt = BootClock::now();
 }
 
 bool Gateway::listen(const base::Address& address, std::string& error)
@@ -105,12 +106,14 @@
 
 void Gateway::reconfigure(const GatewayOptions& options)
 {
+    base::BootTime startedAt = m_options.repeats.startedAt;
     m_options = options;
+    m_options.repeats.startedAt = startedAt;
 }
 
 bool Gateway::mayServe(BootTime now) const
 {
-    return m_fabric.configuration() && now - m_fabric.provenAt() < m_options.revokeLimit;
+    return m_fabric.configuration() && fabric::isProven(m_fabric.provenAt(), now, m_options.revokeLimit);
 }
 
 void Gateway::decayRates(BootTime now)
@@ -174,7 +177,7 @@
             { "waited_ms", base::millisOf(session.waited) },
             { "first_ms", session.events.passed ? millisSince(session.firstEventAt, session.arrivedAt) : -1 },
             { "longest_gap_ms", base::millisOf(session.longestGap) }, { "tokens", session.tokens },
-            { "attempts", session.progress.attemptsSent }, { "events", session.events.passed },
+            { "attempts", session.progress.attemptsMade }, { "events", session.events.passed },
             { "version", session.configuration ? session.configuration->version : 0 },
             { "knowledge_age_ms", millisSince(now, m_fabric.provenAt()) } });
 }
@@ -305,18 +308,18 @@
             if (last.end == AttemptEnd::RanFailed)
                 return finish(session, NextStep::PassFailure, last, std::nullopt);
             last.why = session.isGone ? "caller_gone" : refusal.why;
-            return finish(session, stepWithoutReplica(session.progress), last, refusal.retryAfter);
+            return finish(session, attempts::stepWithoutReplica(session.progress), last, refusal.retryAfter);
         }
         std::string id = replica->entry.id;
         last = attempt(session, *replica);
         BootTime now = BootClock::now();
-        RepeatMeans means;
+        attempts::RepeatMeans means;
         means.hasTime = !session.isGone && sessionTimeLeft(session, now) > m_options.waiting.serveLeast;
-        NextStep next = stepAfterAttempt(session.progress, last.end, means);
+        NextStep next = attempts::stepAfterAttempt(session.progress, last.end, means);
         if (next == NextStep::Repeat
             && !repeatTake(m_repeats[session.service->name], now, m_fabric.memberCount(), m_options.repeats)) {
             means.hasBudget = false;
-            next = stepAfterAttempt(session.progress, last.end, means);
+            next = attempts::stepAfterAttempt(session.progress, last.end, means);
             base::counterAdd("repeats_without_budget_total");
         }
         if (next != NextStep::Repeat)
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -191,11 +191,9 @@
         use.unread += 1;
     }
     session.onFirstByte = [this, id = entry.id] { m_uses[id].unread = std::max(0.0, m_uses[id].unread - 1); };
-    ++session.progress.attemptsSent;
     BootTime begunAt = BootClock::now();
     AttemptResult result = attemptRun(session, entry, m_dialect, m_channels);
-    if (result.end != AttemptEnd::NotRun)
-        ++session.progress.attemptsRun;
+    attempts::noteAttempt(session.progress, result.end);
     if (session.onFirstByte)
         std::exchange(session.onFirstByte, nullptr)();
     BootTime now = BootClock::now();
@@ -216,7 +214,7 @@
     base::counterAddLabelled("attempts_total", "end", result.why);
     if (result.end != AttemptEnd::Whole)
         base::logEvent(LogLevel::Info, "request.attempt",
-            { { "id", session.head.id }, { "replica", entry.id }, { "attempt", session.progress.attemptsSent },
+            { { "id", session.head.id }, { "replica", entry.id }, { "attempt", session.progress.attemptsMade },
                 { "end", result.why }, { "status", result.response.status }, { "reused", result.wasReused },
                 { "took_ms", millisSince(now, begunAt) }, { "trouble", use.trouble },
                 { "events", session.events.passed } });
--- a/src/gateway/RepeatBudget.h
+++ b/src/gateway/RepeatBudget.h
@@ -20,7 +20,8 @@
     double ratio = 0.2; // repeats for each request, in any window
     double extra = 100; // repeats beyond that in a window, of the whole fleet
     base::Seconds window { 10 };
-    double safety = 0.75; // part of both that is used: requests of the window may end late
+    double safety = 0.75;        // part of both that is used: requests of the window may end late
+    base::BootTime startedAt {}; // of this process: what an earlier one repeated in the same window is not known
 };
 
 // For one service.
@@ -47,7 +48,10 @@
     repeatForget(budget.requests, now - options.window);
     repeatForget(budget.repeats, now - options.window);
     double share = options.extra / static_cast<double>(std::max<size_t>(1, members));
-    double most = (options.ratio * static_cast<double>(budget.requests.size()) + share) * options.safety;
+    bool isNewStart = options.startedAt != base::BootTime {} && now - options.startedAt < options.window;
+    // An earlier start may have used all of its part just before: what safety leaves is for the new one.
+    double constantPart = share * (isNewStart ? 1 - options.safety : options.safety);
+    double most = options.ratio * static_cast<double>(budget.requests.size()) * options.safety + constantPart;
     if (static_cast<double>(budget.repeats.size()) + 1 > most)
         return false;
     budget.repeats.push_back(now);
--- a/src/gateway/Session.h
+++ b/src/gateway/Session.h
@@ -9,16 +9,20 @@
 
 #include <string>
 
+#include "attempts/RequestPlan.h"
 #include "gateway/Channels.h"
 #include "gateway/Dialect.h"
 #include "gateway/Events.h"
-#include "gateway/RequestPlan.h"
 #include "net/Http.h"
 
 namespace rattanshunt::gateway {
 
 // ---- [1] Data ----------------------------------------------------------------------------------
 
+using attempts::AttemptEnd;
+using attempts::NextStep;
+using attempts::RequestProgress;
+
 struct Session {
     net::HttpExchange& exchange;
     RequestHead head;
--- a/tests/GatewayDecisionTests.cpp
+++ b/tests/GatewayDecisionTests.cpp
@@ -2,16 +2,17 @@
 #include <random>
 
 #include "Support.h"
+#include "attempts/RequestPlan.h"
 #include "directory/Directory.h"
 #include "gateway/Events.h"
 #include "gateway/RepeatBudget.h"
 #include "gateway/ReplicaChoice.h"
-#include "gateway/RequestPlan.h"
 #include "gateway/Waiting.h"
 #include "platform/Dialect.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::gateway;
+using namespace rattanshunt::attempts;
 using base::Millis;
 
 namespace {
@@ -40,9 +41,8 @@
                 for (int attempt = 0; attempt < 4; ++attempt) {
                     auto end = static_cast<AttemptEnd>(left % 4);
                     left /= 4;
-                    ++progress.attemptsSent;
+                    noteAttempt(progress, end);
                     if (end != AttemptEnd::NotRun) {
-                        ++progress.attemptsRun;
                         mayHaveRun = true;
                         progress.hasPassedHead = progress.hasPassedHead || passes;
                     }
