--- /dev/null
+++ b/lab/Fuzz.cpp
@@ -0,0 +1,210 @@
+#include "Fuzz.h"
+
+#include <cmath>
+#include <map>
+#include <random>
+
+#include <fmt/format.h>
+
+#include "GatewayFleet.h"
+#include "base/Text.h"
+#include "gateway/Events.h"
+#include "platform/Dialect.h"
+
+namespace rattanshunt::lab {
+
+namespace {
+
+    using Random = std::mt19937_64;
+
+    constexpr base::Millis timeMost { 24 * 3600 * 1000 }; // a longer time can't be meant
+    constexpr size_t changesMost = 6;
+
+    // Pieces that decoders are known to trip over.
+    const std::vector<std::string>& pieces()
+    {
+        static const std::vector<std::string> list = { "", "0", "-1", "1e300", "99999999999999999999", "1e-300", "null",
+            "true", "[]", "{}", "\"\"", "\n", "\n\n", "\r\n", ":", ",", "/", "id:", "data:", "\0x", "\xff\xfe", "NaN", "inf",
+            "18446744073709551616", " ", "\\u0000" };
+        return list;
+    }
+
+    std::string change(std::string text, Random& random)
+    {
+        size_t changes = 1 + random() % changesMost;
+        for (size_t i = 0; i < changes; ++i) {
+            size_t at = text.empty() ? 0 : random() % text.size();
+            size_t length = text.empty() ? 0 : std::min<size_t>(random() % 12, text.size() - at);
+            switch (random() % 5) {
+            case 0:
+                if (!text.empty())
+                    text[at] = static_cast<char>(random());
+                break;
+            case 1:
+                text.erase(at, length);
+                break;
+            case 2:
+                text.insert(at, pieces()[random() % pieces().size()]);
+                break;
+            case 3:
+                text.insert(at, text.substr(at, length));
+                break;
+            default: {
+                // Another value where a number stands.
+                size_t digit = text.find_first_of("0123456789", at);
+                size_t end = digit == std::string::npos ? digit : text.find_first_not_of("0123456789.", digit);
+                if (digit != std::string::npos)
+                    text.replace(digit, end == std::string::npos ? end : end - digit, pieces()[random() % pieces().size()]);
+            }
+            }
+        }
+        return text;
+    }
+
+    std::string timeFault(const char* name, base::Millis time)
+    {
+        return time < base::Millis(0) || time > timeMost ? fmt::format("{} is {} ms", name, time.count()) : "";
+    }
+
+    std::string firstOf(std::initializer_list<std::string> faults)
+    {
+        for (const std::string& fault : faults) {
+            if (!fault.empty())
+                return fault;
+        }
+        return "";
+    }
+
+    // ---- Targets ---------------------------------------------------------------------------------
+
+    std::string fuzzHead(const gateway::Dialect& dialect, std::string& input, Random& random)
+    {
+        net::HttpRequest request = labRequest("/stream/x", "id-1", "m1/a1", "key");
+        net::HttpHeader& header = request.headers[random() % request.headers.size()];
+        header.value = change(header.value, random);
+        input = header.name + ": " + header.value;
+        gateway::RequestHead head = dialect.readRequest(request);
+        bool isCounted = std::isfinite(head.promptTokens) && head.promptTokens >= 0 && std::isfinite(head.outputTokens);
+        if (!isCounted || (head.tokens && !(std::isfinite(*head.tokens) && *head.tokens >= 0)))
+            return "tokens that can't be counted";
+        return head.timeLeft ? timeFault("time left", *head.timeLeft) : "";
+    }
+
+    std::string fuzzAnswer(const gateway::Dialect& dialect, std::string& input, Random& random)
+    {
+        net::HttpResponse response { 200,
+            { { "Request-Id", "id-1" }, { "Server-Seal", "seal" }, { "Server-Load", "3,1,8" },
+                { "Keep-Alive", "timeout=15, max=100" }, { "Not-Executed", "" } },
+            "" };
+        net::HttpHeader& header = response.headers[random() % response.headers.size()];
+        header.value = change(header.value, random);
+        input = header.name + ": " + header.value;
+        gateway::AnswerHead head = dialect.readAnswer(response, "id-1");
+        if (head.load && !(std::isfinite(head.load->running) && std::isfinite(head.load->slots)))
+            return "a load that can't be computed with";
+        return head.idleLimit ? timeFault("idle limit", std::chrono::duration_cast<base::Millis>(*head.idleLimit)) : "";
+    }
+
+    // The same events come out however the bytes are cut.
+    std::string fuzzEvents(const gateway::Dialect&, std::string& input, Random& random)
+    {
+        for (int id = 1; id <= 6; ++id)
+            input += fmt::format("id: {}\ndata: token {}\n\n", id, id);
+        input = change(input, random);
+        gateway::EventSplitter whole;
+        std::string expected = gateway::eventsTake(whole, input);
+        gateway::EventSplitter cut;
+        std::string got;
+        for (size_t at = 0; at < input.size();) {
+            size_t length = std::min<size_t>(1 + random() % 20, input.size() - at);
+            got += gateway::eventsTake(cut, std::string_view(input).substr(at, length));
+            at += length;
+        }
+        if (got != expected || cut.lastId != whole.lastId || cut.passed != whole.passed)
+            return "events depend on how the bytes are cut";
+        return expected.size() + whole.partial.size() > input.size() ? "more came out than went in" : "";
+    }
+
+    std::string fuzzEntry(const gateway::Dialect& dialect, std::string& input, Random& random)
+    {
+        input = change(R"({"service":"engine","address":"10.0.0.1:80","zone":"z","slots":8,"state":"draining",)"
+                       R"("timeLeftMs":3000,"born":1700000000000,"sequence":4,"models":["m1","m1/a1"]})",
+            random);
+        std::string fault;
+        auto entry = dialect.readEntry(dialect.entryPrefix + "r-1", input, fault);
+        if (!entry)
+            return fault.empty() ? "an entry is refused without a word" : "";
+        return firstOf({ std::isfinite(entry->slots) && entry->slots >= 0 ? "" : "slots that can't be counted",
+            entry->timeLeft ? timeFault("time left", *entry->timeLeft) : "" });
+    }
+
+    std::string fuzzReport(const gateway::Dialect& dialect, std::string& input, Random& random)
+    {
+        input = change(R"({"born":1700000000000,"sequence":7,"running":3,"waiting":1,"kvUsed":10,"kvTotal":100,)"
+                       R"("busy":false,"models":["m1","m1/a1"],"coming":["m2/a1"],)"
+                       R"("atHand":{"inMemory":["m1"],"onDisk":["m2"]}})",
+            random);
+        auto report = dialect.readReport({ 200, {}, input });
+        return report && !(std::isfinite(report->running) && std::isfinite(report->waiting))
+            ? "a load that can't be computed with"
+            : "";
+    }
+
+    std::string fuzzConfiguration(const gateway::Dialect& dialect, std::string& input, Random& random)
+    {
+        input = change(labConfiguration(3, 100, 300, "\"key\""), random);
+        std::string fault;
+        auto configuration = dialect.readConfiguration(input, fault);
+        if (!configuration)
+            return fault.empty() ? "a configuration is refused without a word" : "";
+        for (const gateway::Route& route : configuration->routes) {
+            std::string wrong = firstOf({ timeFault("timeout", route.timeout),
+                timeFault("target latency", route.targetLatency), timeFault("target gap", route.targetGap),
+                route.maxAttempts < 1 ? "a route without attempts" : "" });
+            if (!wrong.empty())
+                return wrong;
+        }
+        for (const auto& [name, account] : configuration->accounts) {
+            if (!(std::isfinite(account.rate) && account.rate >= 0 && account.burst >= 0))
+                return "an account whose limit can't be counted";
+        }
+        return "";
+    }
+
+    using Target = std::string (*)(const gateway::Dialect&, std::string& input, Random&);
+
+    const std::map<std::string, Target>& targets()
+    {
+        static const std::map<std::string, Target> list = { { "head", fuzzHead }, { "answer", fuzzAnswer },
+            { "events", fuzzEvents }, { "entry", fuzzEntry }, { "report", fuzzReport },
+            { "configuration", fuzzConfiguration } };
+        return list;
+    }
+
+} // namespace
+
+std::vector<std::string> fuzzTargets()
+{
+    std::vector<std::string> names;
+    for (const auto& [name, target] : targets())
+        names.push_back(name);
+    return names;
+}
+
+FuzzResult fuzzRun(const std::string& target, uint64_t seed, uint64_t inputs)
+{
+    FuzzResult result;
+    gateway::Dialect dialect = platform::dialectCreate();
+    Random random(seed);
+    for (; result.inputs < inputs && result.finding.empty(); ++result.inputs) {
+        result.input.clear();
+        try {
+            result.finding = targets().at(target)(dialect, result.input, random);
+        } catch (const std::exception& error) {
+            result.finding = fmt::format("throws: {}", error.what());
+        }
+    }
+    return result;
+}
+
+} // namespace rattanshunt::lab
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -7,12 +7,14 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <gflags/gflags.h>
 #include <unistd.h>
 
 #include "Bench.h"
 #include "EngineStandIn.h"
 #include "Explorer.h"
+#include "Fuzz.h"
 #include "Golden.h"
 #include "Load.h"
 #include "PlatformStandIn.h"
@@ -277,6 +279,34 @@
     return wrong ? 1 : 0;
 }
 
+// Each target, or those named, for --seconds.
+int runFuzz(net::Loop&)
+{
+    constexpr uint64_t inputsAtOnce = 20000;
+    std::vector<std::string> known = lab::fuzzTargets();
+    int failed = 0;
+    for (const std::string& target : s_words.empty() ? known : s_words) {
+        if (std::find(known.begin(), known.end(), target) == known.end()) {
+            std::cerr << "there is no fuzz target \"" << target << "\"; " << fmt::format("{}", fmt::join(known, ", "))
+                      << "\n";
+            return 2;
+        }
+        base::TimePoint end = base::Clock::now() + base::durationOf(FLAGS_seconds);
+        auto seed = static_cast<uint64_t>(FLAGS_seed);
+        lab::FuzzResult result;
+        uint64_t inputs = 0;
+        while (result.finding.empty() && base::Clock::now() < end) {
+            result = lab::fuzzRun(target, seed, inputsAtOnce);
+            inputs += result.inputs;
+            seed += result.finding.empty();
+        }
+        std::cout << fmt::format("{}: {} inputs, {}\n", target, inputs,
+            result.finding.empty() ? "no finding" : fmt::format("seed {}: {}\n{}", seed, result.finding, result.input));
+        failed += !result.finding.empty();
+    }
+    return failed ? 1 : 0;
+}
+
 int runSoak(net::Loop& loop)
 {
     namespace fs = std::filesystem;
@@ -306,7 +336,7 @@
 }
 
 constexpr const char* usageText = "rattanshunt-lab platform | engine | service | load | scenario | verdict | bench "
-                                  "NAME... | explore | golden | soak [flags]; --help lists the flags\n";
+                                  "NAME... | explore | golden | soak | fuzz [TARGET...] [flags]; --help lists the flags\n";
 
 } // namespace
 
@@ -318,7 +348,7 @@
     s_words.assign(argv + std::min(argc, 2), argv + argc);
     std::map<std::string, int (*)(net::Loop&)> commands = { { "platform", runPlatform }, { "engine", runEngine },
         { "service", runService }, { "load", runLoad }, { "scenario", runScenarios }, { "verdict", runVerdict },
-        { "bench", runBench }, { "explore", runExplore }, { "golden", runGolden }, { "soak", runSoak } };
+        { "bench", runBench }, { "explore", runExplore }, { "golden", runGolden }, { "soak", runSoak }, { "fuzz", runFuzz } };
     auto found = commands.find(command);
     if (found == commands.end()) {
         std::cerr << usageText;
--- /dev/null
+++ b/tests/FuzzTests.cpp
@@ -0,0 +1,14 @@
+// A short seeded run of each fuzz target; `rattanshunt-lab fuzz` runs them for longer.
+#include "Fuzz.h"
+#include "Support.h"
+
+using namespace rattanshunt;
+
+Test(fuzz, decoders_of_the_platform_take_any_input, .timeout = 120)
+{
+    for (const std::string& target : lab::fuzzTargets()) {
+        lab::FuzzResult result = lab::fuzzRun(target, 20261204, 20000);
+        cr_expect(result.finding.empty(), "%s, input %lu: %s\n%s", target.c_str(), result.inputs,
+            result.finding.c_str(), result.input.c_str());
+    }
+}
