Measure accounts by the window of their limit

Cause: a bucket that refills at the rate refuses an account that is steadily above it although the limit, rate x window + burst, has room in every later window. Change: the bucket refills with half of the burst in each window, and the use of the last window is kept beside it, so that no window holds more than before. A successor of a hub refills at the rate for one window.

--- a/lab/Bench.h
+++ b/lab/Bench.h
@@ -40,6 +40,12 @@
 // Spread of configuration: time until it is in force everywhere, calls of the KV.
 BenchTable benchConfig(uint64_t seed);
 
+// Usage of an account: what is admitted of what its limit holds.
+BenchTable benchUsage(uint64_t seed);
+
+// Requests that wait for a model: how long those wait that are refused in the end.
+BenchTable benchWaiting(uint64_t seed);
+
 // Costs of single steps at letter 1's size, for docs/CAPACITY.md. Real time.
 BenchTable benchCapacity(uint64_t seed);
 
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -238,12 +238,13 @@
 {
     static const std::map<std::string, lab::BenchTable (*)(uint64_t)> benches
         = { { "budget", lab::benchBudget }, { "placement", lab::benchPlacement }, { "routing", lab::benchRouting },
-              { "once", lab::benchOnce }, { "config", lab::benchConfig }, { "capacity", lab::benchCapacity } };
+              { "once", lab::benchOnce }, { "config", lab::benchConfig }, { "usage", lab::benchUsage },
+              { "waiting", lab::benchWaiting }, { "capacity", lab::benchCapacity } };
     for (const std::string& name : s_words) {
         auto found = benches.find(name);
         if (found == benches.end())
-            throw std::runtime_error(
-                "bench: \"" + name + "\" is not one of budget, placement, routing, once, config, capacity");
+            throw std::runtime_error("bench: \"" + name
+                + "\" is not one of budget, placement, routing, once, config, usage, waiting, capacity");
         lab::BenchTable table = found->second(static_cast<uint64_t>(FLAGS_seed));
         std::cout << (FLAGS_json ? lab::benchJson(table).dump(2) : lab::benchText(table)) << std::endl;
     }
@@ -335,8 +336,9 @@
     return failed ? 1 : 0;
 }
 
-constexpr const char* usageText = "rattanshunt-lab platform | engine | service | load | scenario | verdict | bench "
-                                  "NAME... | explore | golden | soak | fuzz [TARGET...] [flags]; --help lists the flags\n";
+constexpr const char* usageText
+    = "rattanshunt-lab platform | engine | service | load | scenario | verdict | bench "
+      "NAME... | explore | golden | soak | fuzz [TARGET...] [flags]; --help lists the flags\n";
 
 } // namespace
 
@@ -346,9 +348,10 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string command = argc > 1 ? argv[1] : "";
     s_words.assign(argv + std::min(argc, 2), argv + argc);
-    std::map<std::string, int (*)(net::Loop&)> commands = { { "platform", runPlatform }, { "engine", runEngine },
-        { "service", runService }, { "load", runLoad }, { "scenario", runScenarios }, { "verdict", runVerdict },
-        { "bench", runBench }, { "explore", runExplore }, { "golden", runGolden }, { "soak", runSoak }, { "fuzz", runFuzz } };
+    std::map<std::string, int (*)(net::Loop&)> commands
+        = { { "platform", runPlatform }, { "engine", runEngine }, { "service", runService }, { "load", runLoad },
+              { "scenario", runScenarios }, { "verdict", runVerdict }, { "bench", runBench }, { "explore", runExplore },
+              { "golden", runGolden }, { "soak", runSoak }, { "fuzz", runFuzz } };
     auto found = commands.find(command);
     if (found == commands.end()) {
         std::cerr << usageText;
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -65,6 +65,7 @@
         base::Millis bound = std::min(settings.configurationTime, settings.leaveTime);
         options.syncIntervalMost = std::max(options.syncInterval, bound * 3 / 10);
         options.orderGap = settings.orderGap;
+        options.quotaWindow = settings.quotaWindow;
         options.quotaSlack = settings.quotaSlack;
         return options;
     }
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -63,6 +63,7 @@
     base::Millis staleAge { 1600 };        // age of the hub's knowledge beyond which a daemon reads the store itself
     size_t membersAssumed = 100;           // until a hub has told: parts of the fleet's budgets must not be too large
     double quotaSlack = 0;                 // tokens that the fleet may grant beyond an account's burst
+    base::Seconds quotaWindow { 8 };       // in which the limit of an account is measured
 };
 
 // Requests of one kind, as one daemon sees them.
--- a/src/fabric/FabricHub.cpp
+++ b/src/fabric/FabricHub.cpp
@@ -57,6 +57,7 @@
     m_term = termBegin(lease, revision, askedAt, BootClock::now(), m_options.leaseTime);
     m_members.clear();
     m_grantBook = {};
+    m_grantBook.since = m_term.since;
     m_grantBook.startPart = quota::successorStartPart;
     m_grantBook.calmStartPart = quota::successorCalmPart;
     if (BootClock::now() - m_grants.hubWordAt < memberSilence)
@@ -78,8 +79,10 @@
         : orderer.entries.empty()                                   ? OrdererRecord::Nobody
         : orderer.entries[0].value == m_options.name                ? OrdererRecord::Self
                                                                     : OrdererRecord::Another;
-    if (before == OrdererRecord::Nobody)
+    if (before == OrdererRecord::Nobody) {
         m_grantBook.startPart = 1;
+        m_grantBook.since = {};
+    }
     for (const auto& [account, tokens] : quota::spentTake(m_grants))
         chargeSpent(account, tokens);
     m_term.ordersFrom = termOrdersFrom(before, now, m_options.orderGap);
--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -213,7 +213,7 @@
 
 quota::AccountLimit Fabric::limitOf(const gateway::Account& account) const
 {
-    return { account.rate, account.burst, m_options.quotaSlack };
+    return { account.rate, account.burst, m_options.quotaSlack, m_options.quotaWindow };
 }
 
 // Counts what was let through without a hub.
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -1,17 +1,24 @@
 // Usage of client accounts: a book of the whole fleet at the hub, and grants that each daemon spends.
 //
 // Contents
-//   [1] Hub             GrantBook: one bucket an account; grants are taken out before they are spent
+//   [1] Hub             GrantBook: a bucket and a window for each account; grants are taken out before they are spent
 //   [2] Daemon          LocalGrants: what has been granted here, and an allowance for when the hub can't be reached
 //
 // Load pattern: one account sends many times its rate through all daemons at once. The book admits exactly its rate and
-// burst, wherever the requests arrive; what one daemon does not need goes back. Without a hub each daemon may spend a
-// member's share of the rate, so that an outage of the hub refuses nobody who keeps to the rate.
+// burst in any window, wherever the requests arrive; what one daemon does not need goes back. Without a hub each daemon
+// may spend a member's share of the rate, so that an outage of the hub refuses nobody who keeps to the rate.
+//
+// Q: Why does a level refill faster than the account's rate?  A: The limit is stated for a window: rate x window +
+// burst. A bucket that refills at the rate admits that in the first window only, and refuses an account that is
+// steadily above its rate although every later window has room. So the bucket refills with a part of the burst in each
+// window, and the use of the last window is kept beside it: a burst is admitted at once, a steady surplus evenly, and
+// no window holds more than the limit.
 //
 // Pure; the caller's thread owns the data. Times count suspensions too.
 #pragma once
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <string>
 #include <utility>
@@ -21,9 +28,10 @@
 namespace rattanshunt::quota {
 
 struct AccountLimit {
-    double rate = 0;  // a second
-    double burst = 0; //
-    double slack = 0; // beyond the burst that the fleet may be short or over by
+    double rate = 0;            // a second
+    double burst = 0;           //
+    double slack = 0;           // beyond the burst that the fleet may be short or over by
+    base::Seconds window { 8 }; // in which use is measured
 };
 
 // Part of the slack that the hub grants, and part that daemons may use while they can't reach it.
@@ -41,10 +49,19 @@
 
 // Part of what a window may hold beyond rate and burst that daemons may use between them before they know a hub.
 constexpr double aloneExcessPart = 0.04;
-constexpr double aloneWindow = 8; // s
 
 // ---- [1] Hub -----------------------------------------------------------------------------------
 
+// Part of the burst that accounts start with at a hub that follows another one: the former hub's grants and what
+// daemons let through without a hub count in the same window.
+constexpr double successorStartPart = 0.1;
+constexpr double successorCalmPart = 0.8;
+
+struct UseSlot {
+    base::BootTime at {};
+    double tokens = 0;
+};
+
 struct GrantBook {
     // Part of the burst that an account starts with: less after a takeover, as grants are out and daemons have let
     // requests through without a hub.
@@ -54,42 +71,77 @@
     struct Level {
         double tokens = 0;
         base::BootTime asOf {};
+        std::deque<UseSlot> used; // in the window, oldest first
+        double usedSum = 0;       //
     };
+    base::BootTime since {}; // of a hub that follows another one: its election
     std::map<std::string, Level> levels;
 };
 
-// Part of the burst that accounts start with at a hub that follows another one: the former hub's grants and what
-// daemons let through without a hub count in the same window.
-constexpr double successorStartPart = 0.1;
-constexpr double successorCalmPart = 0.8;
+// Part of the burst that comes in again over a window.
+constexpr double burstOverWindow = 0.5;
+
+// Beyond the window, for which use is remembered: grants are spent up to this much later than they are given.
+constexpr base::Millis grantLife { 700 };
+
+// Use is added up in slots of this length.
+constexpr base::Millis useSlot { 100 };
 
 inline double bookCapacity(const AccountLimit& limit)
 {
     return limit.burst + limit.slack * hubSlackPart;
 }
 
+// What any window may hold.
+inline double bookWindowMost(const AccountLimit& limit)
+{
+    return limit.rate * base::secondsOf(limit.window) + bookCapacity(limit);
+}
+
+// Tokens a second.
+inline double bookRefill(const GrantBook& book, const AccountLimit& limit, base::BootTime now)
+{
+    // What was used before a takeover is not in this book's windows.
+    if (book.since != base::BootTime {} && now - book.since < limit.window)
+        return limit.rate;
+    return limit.rate + bookCapacity(limit) * burstOverWindow / base::secondsOf(limit.window);
+}
+
 // The account's level, brought up to `now`.
 inline GrantBook::Level& bookLevel(
     GrantBook& book, const std::string& account, const AccountLimit& limit, base::BootTime now)
 {
     auto known = book.wasCalm.find(account);
     double part = known != book.wasCalm.end() && known->second ? book.calmStartPart : book.startPart;
-    auto [found, isNew] = book.levels.try_emplace(account, GrantBook::Level { limit.burst * part, now });
+    auto [found, isNew] = book.levels.try_emplace(account, GrantBook::Level { limit.burst * part, now, {}, 0 });
     GrantBook::Level& level = found->second;
     double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - level.asOf));
-    level.tokens = std::min(bookCapacity(limit), level.tokens + gone * limit.rate);
+    level.tokens = std::min(bookCapacity(limit), level.tokens + gone * bookRefill(book, limit, now));
+    while (!level.used.empty() && level.used.front().at < now - limit.window - grantLife) {
+        level.usedSum -= level.used.front().tokens;
+        level.used.pop_front();
+    }
     level.asOf = std::max(level.asOf, now);
     return level;
 }
 
-// Grants `tokens` if the account's level covers them.
+inline void bookUse(GrantBook::Level& level, double tokens, base::BootTime now)
+{
+    level.tokens -= tokens;
+    level.usedSum += tokens;
+    if (level.used.empty() || now - level.used.back().at >= useSlot)
+        level.used.push_back({ now, 0 });
+    level.used.back().tokens += tokens;
+}
+
+// Grants `tokens` if the account's level and its window have room for them.
 inline bool bookTake(
     GrantBook& book, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
 {
     GrantBook::Level& level = bookLevel(book, account, limit, now);
-    if (level.tokens < tokens)
+    if (level.tokens < tokens || level.usedSum + tokens > bookWindowMost(limit))
         return false;
-    level.tokens -= tokens;
+    bookUse(level, tokens, now);
     return true;
 }
 
@@ -97,7 +149,7 @@
 inline void bookCharge(
     GrantBook& book, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
 {
-    bookLevel(book, account, limit, now).tokens -= tokens;
+    bookUse(bookLevel(book, account, limit, now), tokens, now);
 }
 
 inline bool bookIsCalm(GrantBook& book, const std::string& account, const AccountLimit& limit, base::BootTime now)
@@ -108,8 +160,16 @@
 inline void bookGiveBack(GrantBook& book, const std::string& account, double tokens)
 {
     auto found = book.levels.find(account);
-    if (found != book.levels.end())
-        found->second.tokens += tokens; // cut to the capacity at the next take
+    if (found == book.levels.end())
+        return;
+    found->second.tokens += tokens; // cut to the capacity at the next take
+    auto& used = found->second.used;
+    for (auto slot = used.rbegin(); slot != used.rend() && tokens > 0; ++slot) {
+        double part = std::min(tokens, slot->tokens);
+        slot->tokens -= part;
+        found->second.usedSum -= part;
+        tokens -= part;
+    }
 }
 
 // ---- [2] Daemon --------------------------------------------------------------------------------
@@ -178,7 +238,8 @@
 {
     double count = static_cast<double>(std::max<size_t>(1, members));
     double capacity
-        = (limit.slack * aloneSlackPart + aloneExcessPart * (limit.rate * aloneWindow + limit.burst)) / count;
+        = (limit.slack * aloneSlackPart + aloneExcessPart * (limit.rate * base::secondsOf(limit.window) + limit.burst))
+        / count;
     auto [found, isNew] = grants.shares.try_emplace(account);
     LocalGrants::Share& share = found->second;
     if (share.aloneAt == base::BootTime {}) {
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -25,7 +25,8 @@
 DEFINE_int32(repeat_window_seconds, 10, "window in which repeats of requests are counted");
 DEFINE_double(repeat_ratio, 0.2, "repeats for each request of a service");
 DEFINE_double(repeat_extra, 100, "repeats in a window beyond that, of the whole fleet");
-DEFINE_double(quota_slack, 0, "tokens that the fleet may grant beyond an account's burst");
+DEFINE_int32(quota_window_seconds, 8, "window in which the limit of an account is measured");
+DEFINE_double(quota_slack, 0, "tokens that the fleet may grant beyond an account's limit");
 
 namespace rattanshunt::settings {
 
@@ -102,6 +103,8 @@
         static_cast<int64_t>(readPositive("repeat_window_seconds", FLAGS_repeat_window_seconds, 3600, faults)));
     settings.repeatRatio = readPositive("repeat_ratio", FLAGS_repeat_ratio, 100, faults);
     settings.repeatExtra = readPositive("repeat_extra", FLAGS_repeat_extra, 1e9, faults);
+    settings.quotaWindow = base::Seconds(
+        static_cast<int64_t>(readPositive("quota_window_seconds", FLAGS_quota_window_seconds, 3600, faults)));
     settings.quotaSlack = readPositive("quota_slack", FLAGS_quota_slack, 1e12, faults);
     return settings;
 }
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -36,6 +36,7 @@
     base::Seconds repeatWindow { 10 };
     double repeatRatio = 0.2;
     double repeatExtra = 100;
+    base::Seconds quotaWindow { 8 };
     double quotaSlack = 0;
 };
 
