--- a/lab/Fuzz.cpp
+++ b/lab/Fuzz.cpp
@@ -24,8 +24,8 @@
     const std::vector<std::string>& pieces()
     {
         static const std::vector<std::string> list = { "", "0", "-1", "1e300", "99999999999999999999", "1e-300", "null",
-            "true", "[]", "{}", "\"\"", "\n", "\n\n", "\r\n", ":", ",", "/", "id:", "data:", "\0x", "\xff\xfe", "NaN", "inf",
-            "18446744073709551616", " ", "\\u0000" };
+            "true", "[]", "{}", "\"\"", "\n", "\n\n", "\r\n", ":", ",", "/", "id:", "data:", "\0x", "\xff\xfe", "NaN",
+            "inf", "18446744073709551616", " ", "\\u0000" };
         return list;
     }
 
@@ -54,7 +54,8 @@
                 size_t digit = text.find_first_of("0123456789", at);
                 size_t end = digit == std::string::npos ? digit : text.find_first_not_of("0123456789.", digit);
                 if (digit != std::string::npos)
-                    text.replace(digit, end == std::string::npos ? end : end - digit, pieces()[random() % pieces().size()]);
+                    text.replace(
+                        digit, end == std::string::npos ? end : end - digit, pieces()[random() % pieces().size()]);
             }
             }
         }
@@ -175,9 +176,9 @@
 
     const std::map<std::string, Target>& targets()
     {
-        static const std::map<std::string, Target> list = { { "head", fuzzHead }, { "answer", fuzzAnswer },
-            { "events", fuzzEvents }, { "entry", fuzzEntry }, { "report", fuzzReport },
-            { "configuration", fuzzConfiguration } };
+        static const std::map<std::string, Target> list
+            = { { "head", fuzzHead }, { "answer", fuzzAnswer }, { "events", fuzzEvents }, { "entry", fuzzEntry },
+                  { "report", fuzzReport }, { "configuration", fuzzConfiguration } };
         return list;
     }
 
--- a/src/budget/Home.cpp
+++ b/src/budget/Home.cpp
@@ -259,8 +259,11 @@
         item.waited = base::Micros(entry.at(6).get<int64_t>());
         item.order = entry.at(7).get<int64_t>();
         item.waiter = entry.at(8).get<std::string>();
-        item.patience = base::Micros(entry.at(9).get<int64_t>());
-        item.isNewcomer = entry.at(10).get<bool>();
+        // Daemons of version 0.2.0 do not say how long a request may wait.
+        if (entry.size() > 10) {
+            item.patience = base::Micros(entry.at(9).get<int64_t>());
+            item.isNewcomer = entry.at(10).get<bool>();
+        }
         call.items.push_back(std::move(item));
     }
     for (const json& entry : object.at("r"))
