--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -16,7 +16,7 @@
     constexpr int attemptLimit = 4;
     constexpr base::Millis notRunPause { 20 }; // before another try after an engine said "not run"
 
-    // The state of one completion across its call.
+    // The state of one completion across its attempts.
     struct EngineCall {
         Completion completion;
         resources::ValueClass value = resources::ValueClass::Normal;
