--- a/lab/Fuzz.cpp
+++ b/lab/Fuzz.cpp
@@ -24,8 +24,8 @@
     const std::vector<std::string>& pieces()
     {
         static const std::vector<std::string> list = { "", "0", "-1", "1e300", "99999999999999999999", "1e-300", "null",
-            "true", "[]", "{}", "\"\"", "\n", "\n\n", "\r\n", ":", ",", "/", "id:", "data:", "\0x", "\xff\xfe", "NaN",
-            "inf", "18446744073709551616", " ", "\\u0000" };
+            "true", "[]", "{}", "\"\"", "\n", "\n\n", "\r\n", ":", ",", "/", "id:", "data:", std::string(1, '\0'),
+            "\xff\xfe", "NaN", "inf", "18446744073709551616", " ", "\\u0000" };
         return list;
     }
 
