--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -59,7 +59,7 @@
             body["unused"] = std::move(unused);
         spent = quota::spentTake(m_grants);
         if (!spent.empty())
-            body["spent"] = std::move(spent);
+            body["spent"] = spent;
     }
     net::PeerResult result = m_peers->call(address, "sync", body, base::Clock::now() + m_options.syncTime);
     bool isAnswered = result.error == net::PeerError::None && result.body.is_object()
