--- /dev/null
+++ b/lab/ExplorerAttempts.cpp
@@ -0,0 +1,106 @@
+// Attempts of one request.
+#include "ExplorerModels.h"
+
+#include <fmt/format.h>
+
+#include "attempts/RequestPlan.h"
+
+namespace rattanshunt::lab {
+
+namespace {
+
+    // One request of each kind of repeat meets every end of an attempt, with and without a repeat left in the budget.
+    // Invariants: what may run once does not run twice; a refusal says that nothing has run, and that is true.
+    class AttemptsModel : public ExplorerModelOf<AttemptsModel> {
+    public:
+        using ExplorerModelOf::ExplorerModelOf;
+
+        std::vector<std::string> actions() const override
+        {
+            if (!m_hasKind)
+                return { "safe", "once", "resumable" };
+            if (m_isEnded)
+                return {};
+            std::vector<std::string> list { "no replica is left" };
+            for (const char* budget : { "", ", budget spent" }) {
+                for (const char* end : { "connection refused", "replica refuses", "runs, whole answer",
+                         "runs, answer lost", "request lost", "runs and fails", "runs, cut after the head" })
+                    list.push_back(std::string(end) + budget);
+            }
+            return list;
+        }
+
+        void perform(const std::string& action) override
+        {
+            if (!m_hasKind) {
+                m_hasKind = true;
+                m_progress.repeat = action == "safe" ? attempts::RepeatKind::Safe
+                    : action == "once"               ? attempts::RepeatKind::Once
+                                                     : attempts::RepeatKind::Resumable;
+                m_progress.maxAttempts = 3;
+                return;
+            }
+            if (action == "no replica is left")
+                return end(attempts::stepWithoutReplica(m_progress));
+            m_runs += action.starts_with("runs");
+            m_progress.hasPassedHead |= action.starts_with("runs, cut") || action.starts_with("runs, whole");
+            attempts::AttemptEnd ended = endOf(action);
+            attempts::noteAttempt(m_progress, ended);
+            attempts::RepeatMeans means;
+            means.hasBudget = !action.ends_with("budget spent");
+            attempts::NextStep step = attempts::stepAfterAttempt(m_progress, ended, means);
+            if (step == attempts::NextStep::Repeat)
+                return;
+            if (m_without == Safeguard::TrueRefusal && step == attempts::NextStep::Fail)
+                step = attempts::NextStep::Refuse;
+            end(step);
+        }
+
+        std::string key() const override
+        {
+            return fmt::format("{} {} {} {} {} {} {} {}", m_hasKind, static_cast<int>(m_progress.repeat),
+                m_progress.attemptsRun, m_progress.attemptsMade, m_progress.hasPassedHead, m_runs, m_isEnded,
+                m_violation);
+        }
+
+        std::string violation() const override
+        {
+            if (m_hasKind && m_progress.repeat == attempts::RepeatKind::Once && m_runs > 1)
+                return "a request that may run once has run twice";
+            return m_violation;
+        }
+
+    private:
+        attempts::AttemptEnd endOf(const std::string& action) const
+        {
+            if (action.starts_with("connection refused") || action.starts_with("replica refuses"))
+                return attempts::AttemptEnd::NotRun;
+            if (action.starts_with("runs, whole"))
+                return attempts::AttemptEnd::Whole;
+            if (action.starts_with("runs and fails"))
+                return attempts::AttemptEnd::RanFailed;
+            return m_without == Safeguard::SureNotRun ? attempts::AttemptEnd::NotRun : attempts::AttemptEnd::Unknown;
+        }
+
+        void end(attempts::NextStep step)
+        {
+            m_isEnded = true;
+            if (step == attempts::NextStep::Refuse && m_runs > 0)
+                m_violation = "refused as not run after it has run";
+        }
+
+        attempts::RequestProgress m_progress;
+        std::string m_violation;
+        int m_runs = 0;
+        bool m_hasKind = false;
+        bool m_isEnded = false;
+    };
+
+} // namespace
+
+std::unique_ptr<ExplorerModel> attemptsModel(Safeguard without)
+{
+    return std::make_unique<AttemptsModel>(without);
+}
+
+} // namespace rattanshunt::lab
--- a/lab/ExplorerBudget.cpp
+++ b/lab/ExplorerBudget.cpp
@@ -26,10 +26,10 @@
         double tokens;
     };
 
-    class BudgetModel : public ExplorerModel {
+    class BudgetModel : public ExplorerModelOf<BudgetModel> {
     public:
         explicit BudgetModel(Safeguard without)
-            : m_without(without)
+            : ExplorerModelOf(without)
         {
             m_options.slots = 1;
             m_options.validity = base::Millis(150);
@@ -42,8 +42,6 @@
             m_confirmedTick = 0;
         }
 
-        std::unique_ptr<ExplorerModel> clone() const override { return std::make_unique<BudgetModel>(*this); }
-
         std::vector<std::string> actions() const override
         {
             std::vector<std::string> list;
@@ -177,7 +175,6 @@
                 m_uses.push_back({ m_tick, message.granted });
         }
 
-        Safeguard m_without;
         BudgetOptions m_options;
         resources::Account m_account;
         Home m_homes[2];
--- a/tests/ExplorerTests.cpp
+++ b/tests/ExplorerTests.cpp
@@ -32,35 +32,18 @@
 
 } // namespace
 
-Test(explorer, budget, .timeout = 120)
-{
-    exploreCases("budget");
-}
-Test(explorer, placement, .timeout = 120)
-{
-    exploreCases("placement");
-}
-Test(explorer, once, .timeout = 120)
-{
-    exploreCases("once");
-}
-Test(explorer, config, .timeout = 120)
-{
-    exploreCases("config");
-}
-Test(explorer, attempts, .timeout = 120)
-{
-    exploreCases("attempts");
-}
-Test(explorer, orders, .timeout = 120)
-{
-    exploreCases("orders");
-}
-Test(explorer, freshness, .timeout = 120)
-{
-    exploreCases("freshness");
-}
-Test(explorer, repeats, .timeout = 120)
-{
-    exploreCases("repeats");
-}
+// A macro, since each case is to fail under a name of its own.
+#define EXPLORED(name)                                                                                                 \
+    Test(explorer, name, .timeout = 120)                                                                               \
+    {                                                                                                                  \
+        exploreCases(#name);                                                                                           \
+    }
+
+EXPLORED(budget)
+EXPLORED(placement)
+EXPLORED(once)
+EXPLORED(config)
+EXPLORED(attempts)
+EXPLORED(orders)
+EXPLORED(freshness)
+EXPLORED(repeats)
