Keep an account within its limit while the fleet falls apart

Members without a hub spent the allowance of a calm account, twice its share, and beside it the share that they have anyway, while the next hub granted the whole rate to the few that reached it. Change: what a calm account uses without a hub is taken from the other allowance too, and is 1.2 of its share; it is counted by the window, not until the next word to a hub. A hub refills accounts by the part of the members it hears.

--- a/src/fabric/Fabric.cpp
+++ b/src/fabric/Fabric.cpp
@@ -121,6 +121,7 @@
         if (m_term.isHeld) {
             readStore();
             storeMembers();
+            noteHeard();
             net::sleepFor(m_options.readInterval);
             continue;
         }
--- a/src/fabric/Fabric.h
+++ b/src/fabric/Fabric.h
@@ -179,6 +179,7 @@
     // -- the hub --
     void campaign();
     void storeMembers();
+    void noteHeard();
     void becomeHub(int64_t lease, base::BootTime askedAt, int64_t createRevision);
     void renewLoop();
     void recordOrders();
@@ -235,6 +236,8 @@
     std::map<std::string, base::Address> m_memberAddresses; // last told by the hub
     size_t m_memberCount = 0;                               // 0: not known yet
     size_t m_membersStored = 0;                             // as in the store
+    size_t m_membersMost = 0;                               // most members in the last window of the limits
+    base::BootTime m_membersMostAt {};
 
     HubTerm m_term;                               // of this daemon as hub
     std::map<std::string, HubMember> m_members;   // hub only
--- a/src/fabric/FabricHub.cpp
+++ b/src/fabric/FabricHub.cpp
@@ -58,6 +58,7 @@
     m_members.clear();
     m_grantBook = {};
     m_grantBook.since = m_term.since;
+    m_grantBook.heardPart = 1.0 / static_cast<double>(std::max<size_t>(1, m_memberCount));
     m_grantBook.startPart = quota::successorStartPart;
     m_grantBook.calmStartPart = quota::successorCalmPart;
     if (BootClock::now() - m_grants.hubWordAt < memberSilence)
@@ -82,6 +83,7 @@
     if (before == OrdererRecord::Nobody) {
         m_grantBook.startPart = 1;
         m_grantBook.since = {};
+        m_grantBook.heardPart = 1;
     }
     for (const auto& [account, tokens] : quota::spentTake(m_grants))
         chargeSpent(account, tokens);
@@ -128,6 +130,25 @@
     m_kv.txn({}, { { fleetKey, Json { { "members", m_memberCount } }.dump(), 0 } });
 }
 
+// The members that this hub does not hear spend on their own what is theirs.
+void Fabric::noteHeard()
+{
+    BootTime now = BootClock::now();
+    if (m_memberCount >= m_membersMost || now - m_membersMostAt > m_options.quotaWindow) {
+        m_membersMost = m_memberCount;
+        m_membersMostAt = now;
+    }
+    base::Duration recent = syncPause() * heardSyncs;
+    auto heard = std::count_if(
+        m_members.begin(), m_members.end(), [&](const auto& item) { return now - item.second.lastSeen <= recent; });
+    double known = static_cast<double>(std::max<size_t>(1, m_membersMost));
+    double part = std::min(1.0, static_cast<double>(heard + 1) / known);
+    if ((part < heardLow) != (m_grantBook.heardPart < heardLow))
+        base::logEvent(part < heardLow ? LogLevel::Warning : LogLevel::Info, "quota.members_heard",
+            { { "heard", heard + 1 }, { "members", m_membersMost } });
+    m_grantBook.heardPart = part;
+}
+
 void Fabric::resign(const char* why)
 {
     if (!m_term.isHeld)
--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -205,9 +205,9 @@
         }
     }
     base::counterAdd("quota_decided_alone_total");
-    if (quota::grantSpendCalm(m_grants, account.name, limit, tokens, memberCount(), BootClock::now()))
-        return true;
     double luck = static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
+    if (quota::grantSpendCalm(m_grants, account.name, limit, tokens, memberCount(), luck, BootClock::now()))
+        return true;
     return quota::grantSpendAlone(m_grants, account.name, limit, tokens, memberCount(), luck, BootClock::now());
 }
 
--- a/src/fabric/FabricParts.h
+++ b/src/fabric/FabricParts.h
@@ -20,8 +20,10 @@
 inline constexpr base::Millis grantWait { 150 };        // for the hub to grant usage
 inline constexpr base::Millis ratesInterval { 1500 };   // between two reports of rates, which change slowly
 inline constexpr base::Millis recordRetry { 150 };      // between two tries to write down who gives orders
-inline constexpr double membersStep = 0.2;              // part by which the number of members must change to be stored
-inline constexpr double grantAhead = 2;                 // requests of this size that one grant covers
+inline constexpr int heardSyncs = 3;       // pauses between syncs after which a member is not heard any more
+inline constexpr double heardLow = 0.9;    // part of the members below which the hub says so
+inline constexpr double membersStep = 0.2; // part by which the number of members must change to be stored
+inline constexpr double grantAhead = 2;    // requests of this size that one grant covers
 
 inline int64_t ageMillis(base::BootTime now, base::BootTime then)
 {
--- a/src/quota/Grants.h
+++ b/src/quota/Grants.h
@@ -44,8 +44,9 @@
 
 // Time after the hub's last word for which a calm account is let through without it, up to `calmShares` times a
 // member's share of its rate over that time and of half of its burst: requests do not arrive at all daemons alike.
+// Twice the share let an account that became hot just then exceed its limit in a fleet that had fallen apart.
 constexpr base::Seconds calmTime { 5 };
-constexpr double calmShares = 2;
+constexpr double calmShares = 1.2;
 
 // Part of what a window may hold beyond rate and burst that daemons may use between them before they know a hub.
 constexpr double aloneExcessPart = 0.04;
@@ -75,6 +76,7 @@
         double usedSum = 0;       //
     };
     base::BootTime since {}; // of a hub that follows another one: its election
+    double heardPart = 1;    // part of the members that the hub hears; the others spend their own shares
     std::map<std::string, Level> levels;
 };
 
@@ -103,8 +105,8 @@
 {
     // What was used before a takeover is not in this book's windows.
     if (book.since != base::BootTime {} && now - book.since < limit.window)
-        return limit.rate;
-    return limit.rate + bookCapacity(limit) * burstOverWindow / base::secondsOf(limit.window);
+        return limit.rate * book.heardPart;
+    return (limit.rate + bookCapacity(limit) * burstOverWindow / base::secondsOf(limit.window)) * book.heardPart;
 }
 
 // The account's level, brought up to `now`.
@@ -180,6 +182,8 @@
         double alone = 0;   // level of the allowance for when the hub can't be reached
         double spent = 0;   // let through without the hub, to be told to the next one
         base::BootTime aloneAt {};
+        double calmUsed = 0; // of what a calm account may use without the hub, in a window
+        base::BootTime calmSince {};
     };
     std::map<std::string, Share> shares;
     std::map<std::string, bool> calm; // by account, at the hub's last word
@@ -204,9 +208,27 @@
         grants.shares[account].spent += tokens;
 }
 
-// Lets a calm account through shortly after the hub was lost. False if it is not known to be calm.
+// A member's allowance for when the hub can't be reached, brought up to `now`: its share of what a window may hold
+// beyond rate and burst, and of the rate.
+inline double& grantAloneLevel(LocalGrants::Share& share, const AccountLimit& limit, size_t members, base::BootTime now)
+{
+    double count = static_cast<double>(std::max<size_t>(1, members));
+    double excess = aloneExcessPart * (limit.rate * base::secondsOf(limit.window) + limit.burst);
+    double capacity = (limit.slack * aloneSlackPart + excess) / count;
+    if (share.aloneAt == base::BootTime {}) {
+        share.alone = capacity;
+        share.aloneAt = now;
+    }
+    double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - share.aloneAt));
+    share.alone = std::min(capacity, share.alone + gone * limit.rate / count);
+    share.aloneAt = std::max(share.aloneAt, now);
+    return share.alone;
+}
+
+// Lets a calm account through shortly after the hub was lost. False if it is not known to be calm. What it uses this
+// way is taken from its allowance without a hub as well. `luck` is drawn from 0 to 1, see grantSpendAlone().
 inline bool grantSpendCalm(LocalGrants& grants, const std::string& account, const AccountLimit& limit, double tokens,
-    size_t members, base::BootTime now)
+    size_t members, double luck, base::BootTime now)
 {
     auto found = grants.calm.find(account);
     if (found == grants.calm.end() || !found->second || now - grants.hubWordAt > calmTime)
@@ -214,8 +236,15 @@
     double count = static_cast<double>(std::max<size_t>(1, members));
     double most = calmShares * (limit.rate * base::secondsOf(calmTime) + limit.burst / 2) / count;
     LocalGrants::Share& share = grants.shares[account];
-    if (share.spent + tokens > most)
+    if (share.calmSince == base::BootTime {} || now - share.calmSince > limit.window) {
+        share.calmUsed = 0;
+        share.calmSince = now;
+    }
+    double left = most - share.calmUsed;
+    if (left <= luck * tokens)
         return false;
+    grantAloneLevel(share, limit, members, now) -= std::min(left, tokens);
+    share.calmUsed += std::min(left, tokens);
     share.spent += tokens;
     return true;
 }
@@ -236,22 +265,11 @@
 inline bool grantSpendAlone(LocalGrants& grants, const std::string& account, const AccountLimit& limit, double tokens,
     size_t members, double luck, base::BootTime now)
 {
-    double count = static_cast<double>(std::max<size_t>(1, members));
-    double capacity
-        = (limit.slack * aloneSlackPart + aloneExcessPart * (limit.rate * base::secondsOf(limit.window) + limit.burst))
-        / count;
-    auto [found, isNew] = grants.shares.try_emplace(account);
-    LocalGrants::Share& share = found->second;
-    if (share.aloneAt == base::BootTime {}) {
-        share.alone = capacity;
-        share.aloneAt = now;
-    }
-    double gone = base::secondsOf(std::max(base::BootClock::duration(0), now - share.aloneAt));
-    share.alone = std::min(capacity, share.alone + gone * limit.rate / count);
-    share.aloneAt = std::max(share.aloneAt, now);
-    if (share.alone <= luck * tokens)
+    LocalGrants::Share& share = grants.shares[account];
+    double& level = grantAloneLevel(share, limit, members, now);
+    if (level <= luck * tokens)
         return false;
-    share.alone = std::max(0.0, share.alone - tokens);
+    level = std::max(0.0, level - tokens);
     share.spent += tokens;
     return true;
 }
--- a/tests/ModelTests.cpp
+++ b/tests/ModelTests.cpp
@@ -240,10 +240,10 @@
     quota::LocalGrants calm;
     calm.calm["a"] = true;
     calm.hubWordAt = bootAt(0);
-    cr_assert(quota::grantSpendCalm(calm, "a", limit, 9200, members, bootAt(1000)));
-    cr_assert(!quota::grantSpendCalm(calm, "a", limit, 9200, members, bootAt(6000)));
+    cr_assert(quota::grantSpendCalm(calm, "a", limit, 9200, members, 0.5, bootAt(1000)));
+    cr_assert(!quota::grantSpendCalm(calm, "a", limit, 9200, members, 0.5, bootAt(6000)));
     for (int i = 0; i < 10; ++i)
-        quota::grantSpendCalm(calm, "a", limit, 9200, members, bootAt(1500));
+        quota::grantSpendCalm(calm, "a", limit, 9200, members, 0.5, bootAt(1500));
     cr_assert_leq(calm.shares["a"].spent, quota::calmShares * (limit.rate * 5 + limit.burst / 2) / members);
 }
 
@@ -264,6 +264,7 @@
         daemon.hubWordAt = bootAt(0);
     }
     quota::GrantBook book;
+    book.since = bootAt(electedAt);
     book.startPart = quota::successorStartPart;
     book.calmStartPart = quota::successorCalmPart;
     book.wasCalm["a"] = true;
@@ -273,7 +274,7 @@
         base::BootTime now = bootAt(tick);
         double luck = static_cast<double>(random() % 1000) / 1000;
         bool isLet = tick >= secondCall ? quota::bookTake(book, "a", limit, tokens, now)
-                                        : quota::grantSpendCalm(daemon, "a", limit, tokens, members, now)
+                                        : quota::grantSpendCalm(daemon, "a", limit, tokens, members, luck, now)
                 || quota::grantSpendAlone(daemon, "a", limit, tokens, members, luck, now);
         sum += isLet ? tokens : 0;
         if (tick / 43 == firstCall / 43) {
@@ -291,3 +292,54 @@
     cr_assert_leq(sum, 1.1 * (8 * limit.rate + limit.burst) + limit.slack);
     cr_assert_gt(sum, 8 * limit.rate);
 }
+
+// A large fleet falls apart, the hub is lost, and an account jumps to seven times its rate just before the next hub is
+// elected. The members that the new hub does not reach spend on their own meanwhile.
+Test(grants, a_hub_grants_only_the_part_of_the_members_that_it_hears)
+{
+    constexpr size_t members = 135;
+    constexpr int hubLostAt = 1000; // ms
+    constexpr int hotFrom = 2700;
+    constexpr int electedAt = 3000;
+    constexpr int heardFrom = 3300;
+    quota::AccountLimit limit { 180000, 180000, 110000 };
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        std::mt19937 random(seed);
+        size_t cutMembers = members * (seed % 5) / 4; // none to all
+        std::vector<quota::LocalGrants> daemons(members);
+        for (quota::LocalGrants& daemon : daemons) {
+            daemon.calm["a"] = true;
+            daemon.hubWordAt = bootAt(hubLostAt);
+        }
+        quota::GrantBook first;
+        quota::GrantBook second;
+        second.since = bootAt(electedAt);
+        second.startPart = quota::successorStartPart;
+        second.calmStartPart = quota::successorCalmPart;
+        second.wasCalm["a"] = true;
+        double sum = 0;
+        double tick = 0;
+        while (tick < 8000) {
+            double tokens = 5000 + static_cast<double>(random() % 9000);
+            tick += std::exponential_distribution<double>(limit.rate * (tick < hotFrom ? 0.6 : 7.5) / 9500 / 1000)(
+                random);
+            base::BootTime now = bootAt(tick);
+            size_t chosen = random() % members;
+            quota::LocalGrants& daemon = daemons[chosen];
+            double luck = static_cast<double>(random() % 1000) / 1000;
+            second.heardPart
+                = tick < heardFrom ? 1.0 / members : std::max(1.0, static_cast<double>(members - cutMembers)) / members;
+            if (tick < hubLostAt) {
+                sum += quota::bookTake(first, "a", limit, tokens, now) ? tokens : 0;
+            } else if (tick >= heardFrom && chosen >= cutMembers) {
+                for (const auto& [account, spent] : quota::spentTake(daemon))
+                    quota::bookCharge(second, account, limit, spent, now);
+                sum += quota::bookTake(second, "a", limit, tokens, now) ? tokens : 0;
+            } else if (quota::grantSpendCalm(daemon, "a", limit, tokens, members, luck, now)
+                || quota::grantSpendAlone(daemon, "a", limit, tokens, members, luck, now))
+                sum += tokens;
+        }
+        cr_assert_leq(sum, 1.1 * (8 * limit.rate + limit.burst) + limit.slack, "%zu cut off: %f", cutMembers, sum);
+        cr_assert_gt(sum, 0.5 * 8 * limit.rate);
+    }
+}
