Never bring a replica back that had gone; elect strong hubs

Change 1: a removal keeps the revision of the last entry, and entries up to it are not taken; removals count by that revision instead of by the age of the knowledge; a member whose number of replicas differs from a newer hub's asks for the whole list. Test: older_knowledge_brings_no_replica_back_and_removes_no_newer_one, fails without the check. Change 2: a candidate waits up to 0.8 s by its weakness, about what members notice apart. Test: a_strong_member_follows_a_lost_hub_although_weak_ones_notice_first; under the former wait weak ones won more.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -12,19 +12,28 @@
         return key.substr(dialect.entryPrefix.size());
     }
 
-    void removeReplica(Directory& directory, const std::string& id)
+    // Whether the entry had gone before: an older reader still passes it on.
+    bool isGone(const Directory& directory, const std::string& id, int64_t revision)
+    {
+        auto found = directory.removed.find(id);
+        return found != directory.removed.end() && revision <= found->second.revision;
+    }
+
+    void removeReplica(Directory& directory, const std::string& id, int64_t revision)
     {
         if (directory.replicas.erase(id))
-            directory.removed[id] = ++directory.stamp;
+            directory.removed[id] = { id, revision, ++directory.stamp };
     }
 
     void applyEntry(
         Directory& directory, const gateway::Dialect& dialect, const RawEntry& raw, std::vector<EntryFault>& faults)
     {
+        std::string id = identifierOf(dialect, raw.key);
+        if (isGone(directory, id, raw.revision))
+            return;
         RawEntry& known = directory.raw[raw.key];
         if (known.revision > raw.revision)
             return;
-        std::string id = identifierOf(dialect, raw.key);
         auto found = directory.replicas.find(id);
         if (known.revision == raw.revision && found != directory.replicas.end()) {
             if (found->second.isLapsed) {
@@ -40,7 +49,7 @@
         if (!entry) {
             if (isNew)
                 faults.push_back({ raw.key, fault });
-            removeReplica(directory, id);
+            removeReplica(directory, id, raw.revision);
             return;
         }
         if (found != directory.replicas.end() && found->second.entry == *entry && !found->second.isLapsed) {
@@ -85,21 +94,24 @@
             found->second.isLapsed = true;
             continue;
         }
+        removeReplica(directory, id, directory.raw[key].revision);
         directory.raw.erase(key);
-        removeReplica(directory, id);
     }
     return faults;
 }
 
 std::vector<EntryFault> directoryApplyChanges(Directory& directory, const gateway::Dialect& dialect,
-    const std::vector<RawEntry>& changed, const std::vector<std::string>& removed)
+    const std::vector<RawEntry>& changed, const std::vector<RemovedReplica>& removed)
 {
     std::vector<EntryFault> faults;
     for (const RawEntry& raw : changed)
         applyEntry(directory, dialect, raw, faults);
-    for (const std::string& id : removed) {
-        directory.raw.erase(dialect.entryPrefix + id);
-        removeReplica(directory, id);
+    for (const RemovedReplica& gone : removed) {
+        auto known = directory.raw.find(dialect.entryPrefix + gone.id);
+        if (known == directory.raw.end() || known->second.revision > gone.revision)
+            continue;
+        removeReplica(directory, gone.id, gone.revision);
+        directory.raw.erase(known);
     }
     return faults;
 }
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -51,11 +51,18 @@
     int64_t revision = 0;
 };
 
+// A replica that is gone. Knowledge that is not newer than what was known of it must not bring it back.
+struct RemovedReplica {
+    std::string id;
+    int64_t revision = 0; // of its last entry
+    uint64_t stamp = 0;   // of the removal
+};
+
 struct Directory {
-    std::map<std::string, Replica> replicas; // by identifier
-    std::map<std::string, RawEntry> raw;     // by key, as read
-    std::map<std::string, uint64_t> removed; // identifiers that are gone, by stamp
-    uint64_t stamp = 0;                      // rises with each change
+    std::map<std::string, Replica> replicas;       // by identifier
+    std::map<std::string, RawEntry> raw;           // by key, as read
+    std::map<std::string, RemovedReplica> removed; // by identifier
+    uint64_t stamp = 0;                            // rises with each change
 };
 
 // Entries that lapsed in an outage are back about two seconds after it, if their replicas live.
@@ -73,9 +80,10 @@
 std::vector<EntryFault> directoryApplyList(
     Directory&, const gateway::Dialect&, const std::vector<RawEntry>&, bool mayBeLapsed);
 
-// Takes in single entries and removals, as passed on by another daemon.
-std::vector<EntryFault> directoryApplyChanges(
-    Directory&, const gateway::Dialect&, const std::vector<RawEntry>& changed, const std::vector<std::string>& removed);
+// Takes in single entries and removals, as passed on by another daemon. A removal counts only for the entry that the
+// other daemon knew, or an older one.
+std::vector<EntryFault> directoryApplyChanges(Directory&, const gateway::Dialect&, const std::vector<RawEntry>& changed,
+    const std::vector<RemovedReplica>& removed);
 
 // Takes in a report, unless a newer one is there or it belongs to another start of the replica.
 // Gives whether it was taken.
--- a/src/fabric/FabricHub.cpp
+++ b/src/fabric/FabricHub.cpp
@@ -27,10 +27,7 @@
         return;
     if (!isOwnOld) {
         double luck = static_cast<double>(base::stableHash(m_options.name, base::stableHash(m_start)) % 1000) / 1000;
-        double weakness = 1 - std::clamp(m_options.strength, 0.0, 1.0);
-        double part = luck * (0.3 + 0.7 * weakness) + (weakness > 0.8 ? 0.3 : 0);
-        auto wait = base::durationOf(base::secondsOf(campaignSpread) * part);
-        net::sleepFor(wait);
+        net::sleepFor(campaignWait(m_options.strength, luck));
         auto current = m_kv.get(hubKey);
         if (current.error != platform::KvError::None || !current.entries.empty() || m_isStopping || m_isRetired)
             return;
@@ -309,11 +306,12 @@
         outlook.push_back({ key.first, key.second, ageMillis(readyAt, now) });
     reply["outlook"] = std::move(outlook);
     Json removed = Json::array();
-    for (const auto& [id, stamp] : m_directory.removed) {
-        if (stamp > since)
-            removed.push_back(id);
+    for (const auto& [id, gone] : m_directory.removed) {
+        if (gone.stamp > since)
+            removed.push_back({ id, gone.revision });
     }
     reply["removed"] = std::move(removed);
+    reply["replicas"] = m_directory.replicas.size();
     if (m_term.isHeld && asked.value("members", size_t(0)) != memberCount()) {
         Json addresses = Json::object();
         for (const auto& [name, member] : m_members)
--- a/src/fabric/FabricMember.cpp
+++ b/src/fabric/FabricMember.cpp
@@ -100,14 +100,14 @@
             entries.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<int64_t>() });
             present.insert(entries.back().key);
         }
-        std::vector<std::string> removed;
-        if (isNewer) {
-            removed = body.at("removed").get<std::vector<std::string>>();
-            if (body.at("whole").get<bool>()) {
-                for (const auto& [id, replica] : m_directory.replicas) {
-                    if (!present.contains(m_dialect.entryPrefix + id))
-                        removed.push_back(id);
-                }
+        std::vector<directory::RemovedReplica> removed;
+        for (const Json& row : body.at("removed"))
+            removed.push_back({ row.at(0).get<std::string>(), row.at(1).get<int64_t>() });
+        // Only newer knowledge tells by what it does not hold that something has gone.
+        if (isNewer && body.at("whole").get<bool>()) {
+            for (const auto& [key, raw] : m_directory.raw) {
+                if (!present.contains(key))
+                    removed.push_back({ key.substr(m_dialect.entryPrefix.size()), raw.revision });
             }
         }
         noteFaults(directory::directoryApplyChanges(m_directory, m_dialect, entries, removed));
@@ -147,6 +147,12 @@
         if (m_hubStart != body.at("start").get<std::string>())
             m_ratesSentAt = {}; // a new hub knows no rates
         m_hubStart = body.at("start").get<std::string>();
+        // A removal that was told while this daemon's own knowledge seemed newer is not told again.
+        if (isNewer && m_directory.replicas.size() != body.at("replicas").get<size_t>()) {
+            base::logEvent(LogLevel::Warning, "directory.differs",
+                { { "replicas", m_directory.replicas.size() }, { "at_hub", body.at("replicas").get<size_t>() } });
+            m_hubStart.clear();
+        }
         m_hubStamp = body.at("stamp").get<uint64_t>();
         m_memberCount = body.at("members").get<size_t>();
         m_grants.calm.clear();
--- a/src/fabric/FabricParts.h
+++ b/src/fabric/FabricParts.h
@@ -12,7 +12,6 @@
 inline constexpr const char* secretKey = "rs/secret";
 inline constexpr size_t secretBytes = 16;
 
-inline constexpr base::Millis campaignSpread { 700 };   // over which candidates wait for a stronger one
 inline constexpr base::Millis startInterval { 200 };    // between two reads while there is no hub yet
 inline constexpr base::Millis memberSilence { 3000 };   // after which the hub no longer counts a member
 inline constexpr base::Millis outageLeast { 300 };      // failures of the store shorter than this let nothing lapse
--- a/src/fabric/HubTerm.h
+++ b/src/fabric/HubTerm.h
@@ -2,7 +2,7 @@
 //
 // Contents
 //   [1] Term            HubTerm, termBegin(), termRenewed(), termIsOver(), termMayOrder()
-//   [2] Succession      OrdererRecord, termOrdersFrom()
+//   [2] Succession      OrdererRecord, termOrdersFrom(), campaignWait()
 //   [3] Freshness       provenByRead(), provenByPeer(), isProven()
 //
 // Load pattern: replicas crash and models shift while the hub is frozen, cut off from the store or started anew. Two
@@ -82,6 +82,19 @@
     return mustWait ? now + orderGap : now;
 }
 
+// Members notice a lost hub up to their interval between two reads apart, so a weak candidate gives stronger ones about
+// that much time: a hub of a tenth of a core on a thin link takes seconds to tell a large fleet what it knows.
+inline constexpr base::Millis campaignForStronger { 800 };
+inline constexpr base::Millis campaignSpread { 200 }; // keeps equals apart
+
+// How long a candidate waits before it asks for the lease. `strength` and `luck` from 0 to 1.
+inline base::Duration campaignWait(double strength, double luck)
+{
+    double weakness = 1 - std::clamp(strength, 0.0, 1.0);
+    return base::durationOf(
+        base::secondsOf(campaignForStronger) * weakness + base::secondsOf(campaignSpread) * std::clamp(luck, 0.0, 1.0));
+}
+
 // ---- [3] Freshness -----------------------------------------------------------------------------
 
 // The time at which what a linearizable read returned was surely true.
--- a/tests/GatewayDecisionTests.cpp
+++ b/tests/GatewayDecisionTests.cpp
@@ -239,6 +239,25 @@
     cr_assert(!directory::directoryApplyReport(directory, "i", report, bootAt(300)));
 }
 
+// A daemon has read the store itself and then hears from a hub whose last read was before that.
+Test(directory, older_knowledge_brings_no_replica_back_and_removes_no_newer_one)
+{
+    Dialect dialect = platform::dialectCreate();
+    directory::Directory directory;
+    directory::directoryApplyList(directory, dialect, { { "servers/i", entryText("ready", 5), 7 } }, false);
+    directory::directoryApplyList(directory, dialect, {}, false);
+    cr_assert(directory.replicas.empty());
+    directory::directoryApplyChanges(directory, dialect, { { "servers/i", entryText("ready", 5), 7 } }, {});
+    cr_assert(directory.replicas.empty());
+    // It comes again under the same id, and the removal of the former one is told late.
+    directory::directoryApplyChanges(directory, dialect, { { "servers/i", entryText("ready", 6), 12 } }, {});
+    cr_assert(directory.replicas.contains("i"));
+    directory::directoryApplyChanges(directory, dialect, {}, { { "i", 7, 0 } });
+    cr_assert(directory.replicas.contains("i"));
+    directory::directoryApplyChanges(directory, dialect, {}, { { "i", 12, 0 } });
+    cr_assert(directory.replicas.empty());
+}
+
 Test(directory, entries_of_other_writers_name_no_replica_and_the_others_hold)
 {
     Dialect dialect = platform::dialectCreate();
--- a/tests/ModelTests.cpp
+++ b/tests/ModelTests.cpp
@@ -2,6 +2,7 @@
 #include <random>
 
 #include "Support.h"
+#include "fabric/HubTerm.h"
 #include "models/Planner.h"
 #include "models/StoreSpeed.h"
 #include "quota/Grants.h"
@@ -343,3 +344,32 @@
         cr_assert_gt(sum, 0.5 * 8 * limit.rate);
     }
 }
+
+// ---- Election -----------------------------------------------------------------------------------
+
+// The hub of a large fleet is lost; its members notice it up to 0.9 s apart, and one in ten of them is strong.
+Test(hub, a_strong_member_follows_a_lost_hub_although_weak_ones_notice_first)
+{
+    constexpr size_t members = 135;
+    constexpr double noticeSpread = 0.9; // s
+    std::mt19937 random(9);
+    auto draw = [&] { return static_cast<double>(random() % 10000) / 10000; };
+    constexpr int elections = 500;
+    int weakWins = 0;
+    for (int election = 0; election < elections; ++election) {
+        double first = 10;
+        bool isFirstStrong = false;
+        for (size_t i = 0; i < members; ++i) {
+            bool isStrong = i % 10 == 0;
+            double at = draw() * noticeSpread + base::secondsOf(fabric::campaignWait(isStrong ? 0.9 : 0.1, draw()));
+            if (at < first) {
+                first = at;
+                isFirstStrong = isStrong;
+            }
+        }
+        weakWins += !isFirstStrong;
+    }
+    cr_assert_lt(weakWins, elections / 50);
+    // Where all are weak, the first still asks within a second.
+    cr_assert_leq(fabric::campaignWait(0, 1), base::Duration(base::Seconds(1)));
+}
