--- /dev/null
+++ b/lab/ScenarioRunner.cpp
@@ -0,0 +1,327 @@
+// Commands that set a fleet up, load it and break it.
+#include "ScenarioRunner.h"
+
+namespace rattanshunt::lab {
+
+void ScenarioRunner::run(const ScenarioCommand& command)
+{
+    m_command = &command;
+    note(command.text);
+    try {
+        dispatch(command);
+    } catch (const std::exception& error) {
+        fail(error.what());
+    }
+}
+
+// ---- Helpers ---------------------------------------------------------------------------------
+
+void ScenarioRunner::note(const std::string& text)
+{
+    m_result.trace.push_back(fmt::format("{:7.3f}  {}", base::secondsOf(base::Clock::now() - m_start), text));
+}
+
+void ScenarioRunner::fail(const std::string& text)
+{
+    m_result.failures.push_back(fmt::format("line {}: {}: {}", m_command->line, m_command->text, text));
+    note("FAILED " + text);
+}
+
+std::string ScenarioRunner::option(const std::string& name, const std::string& otherwise) const
+{
+    auto found = m_command->options.find(name);
+    return found == m_command->options.end() ? otherwise : found->second;
+}
+
+double ScenarioRunner::number(const std::string& name, double otherwise) const
+{
+    std::string text = option(name);
+    return text.empty() ? otherwise : std::stod(text);
+}
+
+LabFleet& ScenarioRunner::fleet()
+{
+    if (!m_fleet)
+        throw std::runtime_error("start must come before this command");
+    return *m_fleet;
+}
+
+std::string ScenarioRunner::anyDaemon()
+{
+    auto names = fleet().runningDaemons();
+    std::erase_if(names, [&](const std::string& name) { return m_frozen.contains(name); });
+    if (names.empty())
+        throw std::runtime_error("no daemon runs");
+    return names.front();
+}
+
+std::string ScenarioRunner::jsonText(size_t firstWord) const
+{
+    std::string text;
+    for (size_t i = firstWord; i < m_command->words.size(); ++i)
+        text += m_command->words[i] + " ";
+    return text;
+}
+
+// ---- Commands --------------------------------------------------------------------------------
+
+void ScenarioRunner::dispatch(const ScenarioCommand& command)
+{
+    const std::string& name = command.name;
+    std::string first = command.words.empty() ? "" : command.words[0];
+    if (name == "fleet")
+        setFleet();
+    else if (name == "store") {
+        m_plan.platform.storeLoadsPerSecond = number("loads_per_second", 100);
+        m_plan.platform.listLag = base::Millis(static_cast<int64_t>(number("list_lag_ms", 100)));
+    } else if (name == "engine")
+        addEngine(first);
+    else if (name == "service")
+        m_plan.services[first] = option("pool", first);
+    else if (name == "start")
+        start();
+    else if (name == "apply")
+        apply(command.words[0], command.words[1], jsonText(2));
+    else if (name == "refuse-apply")
+        refuseApply();
+    else if (name == "key")
+        createKey(first);
+    else if (name == "withdraw")
+        withdraw(first);
+    else if (name == "load")
+        startLoad(first);
+    else if (name == "storm-models")
+        applyStormModels(std::stoi(first));
+    else if (name == "steward-engines") {
+        for (int i = 1; i <= std::stoi(first); ++i)
+            addEngine(fmt::format("steward-{}", i));
+    } else if (name == "storm")
+        startStorm(first);
+    else if (name == "join")
+        waitForLoad(*m_loads.at(first));
+    else if (name == "repeat")
+        repeatCalls(first);
+    else if (name == "wait")
+        wait();
+    else if (name == "expect")
+        expect();
+    else if (name == "pause")
+        net::sleepFor(base::durationOf(std::stod(first)));
+    else
+        breakThings(name, first);
+}
+
+void ScenarioRunner::breakThings(const std::string& name, const std::string& first)
+{
+    if (name == "kill") {
+        m_frozen.erase(first);
+        fleet().kill(first);
+    } else if (name == "freeze") {
+        m_frozen.insert(first);
+        fleet().freeze(first);
+    } else if (name == "thaw") {
+        m_frozen.erase(first);
+        fleet().thaw(first);
+    } else if (name == "stop") {
+        if (fleet().stopGracefully(first) != 0)
+            fail("the daemon did not stop with exit code 0");
+    } else if (name == "restart")
+        fleet().startDaemon(first);
+    else if (name == "gone")
+        fleet().declareGone(first);
+    else if (name == "kv")
+        fleet().platformFault({ { "kv", first }, { "delay_ms", static_cast<int>(number("ms", 0)) },
+            { "lose_every", static_cast<int>(number("lose_every", 0)) } });
+    else if (name == "store-fault")
+        fleet().platformFault({ { "store_factor", number("factor", 1) } });
+    else if (name == "engine-fault")
+        fleet().engineFault(first, faultJson());
+    else if (name == "service-fault")
+        fleet().serviceFault(first, faultJson());
+    else if (name == "evict")
+        fleet().evict(first);
+    else if (name == "reboot")
+        fleet().restartEngine(first);
+    else if (name == "leaving")
+        fleet().setEngineState(first, platform::InstanceState::Leaving);
+}
+
+json ScenarioRunner::faultJson() const
+{
+    json fault = json::object();
+    for (auto& [key, value] : m_command->options)
+        fault[key] = value == "on" ? json(true) : value == "off" ? json(false) : json(std::stoi(value));
+    return fault;
+}
+
+void ScenarioRunner::setFleet()
+{
+    m_plan.daemons = static_cast<size_t>(number("daemons", 1));
+    m_plan.centers = static_cast<size_t>(number("centers", 1));
+    m_plan.settings.budgetSlots = static_cast<size_t>(number("budget_slots", 4));
+    m_plan.settings.shareTerm = base::Seconds(static_cast<int64_t>(number("share_term_seconds", 1800)));
+    m_plan.settings.retryBudgetPercent = static_cast<size_t>(number("retry_budget_percent", 10));
+    m_plan.settings.freshnessLimit = base::Millis(static_cast<int64_t>(number("freshness_limit_ms", 2500)));
+}
+
+void ScenarioRunner::addEngine(const std::string& id)
+{
+    EnginePlan engine;
+    engine.options.id = id;
+    engine.pool = option("pool", "drafter");
+    engine.center = option("center", "dc-1");
+    engine.options.memoryBytes = static_cast<int64_t>(number("memory", 100));
+    engine.options.slots = static_cast<int>(number("slots", 8));
+    engine.options.tokenTime = base::Micros(static_cast<int64_t>(number("token_us", 1000)));
+    engine.options.loadTime = base::Millis(static_cast<int64_t>(number("load_ms", 200)));
+    engine.options.checksFencing = option("fencing", "on") == "on";
+    m_plan.engines.push_back(std::move(engine));
+}
+
+void ScenarioRunner::start()
+{
+    m_fleet = std::make_unique<LabFleet>(m_loop, m_plan);
+    if (!m_fleet->start())
+        fail("the fleet did not become ready");
+}
+
+void ScenarioRunner::apply(const std::string& kind, const std::string& name, const std::string& text)
+{
+    json spec = json::parse(text, nullptr, false);
+    if (spec.is_discarded())
+        throw std::runtime_error("the resource is not JSON");
+    net::HttpResponse answer = fleet().admin(anyDaemon(), "PUT", "/api/v1/" + kind + "/" + name, spec);
+    if (answer.status != 200)
+        fail("refused: " + answer.body);
+}
+
+void ScenarioRunner::refuseApply()
+{
+    const auto& words = m_command->words;
+    net::HttpResponse answer = fleet().admin(
+        anyDaemon(), "PUT", "/api/v1/" + words[1] + "/" + words[2], json::parse(jsonText(3), nullptr, false));
+    json body = json::parse(answer.body, nullptr, false);
+    bool isNamed = body.is_object() && body.contains("error") && body["error"].value("field", "") == words[0];
+    if (answer.status / 100 != 4 || !isNamed)
+        fail("expected a refusal that names " + words[0] + ", got " + answer.body);
+}
+
+void ScenarioRunner::createKey(const std::string& name)
+{
+    m_secrets[name] = fleet().createKey(anyDaemon(), name, option("account"));
+    if (m_secrets[name].empty())
+        fail("the key was not created");
+}
+
+void ScenarioRunner::withdraw(const std::string& name)
+{
+    net::HttpResponse answer = fleet().admin(anyDaemon(), "POST", "/api/v1/key/" + name + "/withdraw");
+    if (answer.status != 200 && answer.status != 202)
+        fail("refused: " + answer.body);
+}
+
+LoadKind ScenarioRunner::kindFromOptions(const std::string& name)
+{
+    LoadKind kind;
+    kind.name = name;
+    if (!option("key").empty())
+        kind.secret = m_secrets.at(option("key"));
+    kind.model = option("model");
+    kind.path = option("path");
+    kind.isStream = option("stream") == "on";
+    kind.hasIdempotencyKey = option("idempotent") == "on";
+    kind.maxTokens = static_cast<size_t>(number("tokens", 16));
+    kind.promptBytes = static_cast<size_t>(number("prompt_bytes", 64));
+    kind.value = option("value");
+    kind.deadline = base::Millis(static_cast<int64_t>(number("deadline_ms", 15000)));
+    return kind;
+}
+
+std::vector<base::Address> ScenarioRunner::targets()
+{
+    std::vector<base::Address> list;
+    auto names = base::splitText(option("on"), ',');
+    for (const std::string& name : names.empty() ? fleet().runningDaemons() : names)
+        list.push_back(fleet().addresses(name).client);
+    return list;
+}
+
+void ScenarioRunner::runInBackground(const std::string& name, const std::shared_ptr<RunningLoad>& load)
+{
+    m_loads[name] = load;
+    m_loop.spawn([this, load] {
+        load->result = loadRun(m_loop, load->plan);
+        load->isDone = true;
+    });
+}
+
+void ScenarioRunner::startLoad(const std::string& name)
+{
+    auto load = std::make_shared<RunningLoad>();
+    load->plan.targets = targets();
+    load->plan.kinds = { kindFromOptions(name) };
+    load->plan.rate = number("rate", 50);
+    load->plan.limit = static_cast<size_t>(number("count", 0));
+    load->plan.duration = base::durationOf(number("seconds", load->plan.limit ? 60 : 2));
+    load->plan.seed = m_loads.size() + 1;
+    runInBackground(name, load);
+}
+
+void ScenarioRunner::applyStormModels(int count)
+{
+    int drafters = static_cast<int>(number("drafters", count));
+    for (int i = 1; i <= count; ++i) {
+        bool isDrafter = i <= drafters;
+        apply("model", fmt::format("model-{}", i),
+            fmt::format(R"({{"pool":"{}","bytes":30,"value":"{}"}})", isDrafter ? "drafter" : "dispatch",
+                isDrafter ? "high" : "normal"));
+    }
+}
+
+void ScenarioRunner::startStorm(const std::string& name)
+{
+    auto load = std::make_shared<RunningLoad>();
+    load->plan.targets = targets();
+    int from = static_cast<int>(number("from", 1));
+    for (int i = from; i < from + static_cast<int>(number("models", 10)); ++i) {
+        LoadKind kind = kindFromOptions(name);
+        kind.model = fmt::format("model-{}", i);
+        load->plan.kinds.push_back(std::move(kind));
+    }
+    load->plan.rate = number("rate", 200);
+    load->plan.limit = static_cast<size_t>(number("count", 50));
+    load->plan.duration = base::Seconds(60);
+    load->plan.seed = m_loads.size() + 1;
+    runInBackground(name, load);
+}
+
+void ScenarioRunner::waitForLoad(RunningLoad& load)
+{
+    while (!load.isDone)
+        net::sleepFor(base::Millis(10));
+}
+
+const LoadTally& ScenarioRunner::tallyOf(const std::string& name)
+{
+    auto load = m_loads.find(name);
+    if (load == m_loads.end())
+        throw std::runtime_error("there is no load " + name);
+    waitForLoad(*load->second);
+    return load->second->result[name];
+}
+
+void ScenarioRunner::repeatCalls(const std::string& name)
+{
+    auto calls = tallyOf(name).calls;
+    auto addresses = targets();
+    for (size_t i = 0; i < calls.size(); ++i) {
+        net::HttpRequest request { "POST", option("path"),
+            { { "Idempotency-Key", calls[i] }, { "Authorization", "Bearer " + m_secrets.at(option("key")) } },
+            json({ { "call", calls[i] } }).dump() };
+        auto connection = net::HttpConnection::create(m_loop, addresses[i % addresses.size()]);
+        net::HttpResult answer = net::httpCall(*connection, request, base::Clock::now() + base::Seconds(10));
+        ++m_repeats[answer.error == net::HttpCallError::None ? std::to_string(answer.response.status) : "none"];
+    }
+}
+
+} // namespace rattanshunt::lab
--- /dev/null
+++ b/src/budget/BorrowerAnswers.cpp
@@ -0,0 +1,152 @@
+// What the homes' answers, and calls that failed, mean for the requests that wait.
+#include "budget/BorrowerParts.h"
+
+namespace rattanshunt::budget {
+
+namespace {
+
+    constexpr base::Millis failurePause { 50 }; // doubled with each further failure
+    constexpr unsigned failureDoublings = 5;
+
+    void grantWhole(Borrower& borrower, uint64_t id, std::vector<Grant> grants, base::TimePoint validUntil)
+    {
+        BudgetDecision decision;
+        decision.id = id;
+        decision.isGranted = true;
+        decision.grants = std::move(grants);
+        decision.validUntil = validUntil;
+        borrower.decisions.push_back(std::move(decision));
+        borrower.requests.erase(id);
+    }
+
+    void refuseNever(Borrower& borrower, uint64_t id)
+    {
+        BudgetDecision decision;
+        decision.id = id;
+        decision.isNever = true;
+        borrower.decisions.push_back(std::move(decision));
+        borrower.requests.erase(id);
+    }
+
+    bool isValid(const Borrower& borrower, base::TimePoint sentAt, base::TimePoint now)
+    {
+        return now < sentAt + borrower.options.validity || !borrower.options.checksValidity;
+    }
+
+    void answerPart(Borrower& borrower, BorrowerRequest& waiting, size_t slot, const BudgetItemAnswer& item,
+        int64_t epoch, base::TimePoint now)
+    {
+        if (waiting.parts.size() <= slot)
+            return;
+        if (item.status == ItemStatus::Late) {
+            waiting.isLate = true;
+            waiting.turnIn = std::max(waiting.turnIn, item.retryAfter);
+            return;
+        }
+        BorrowerPart& part = waiting.parts[slot];
+        base::TimePoint sentAt = borrower.slots[slot].sentAt;
+        part.isReady = item.status == ItemStatus::Ready || item.status == ItemStatus::Granted;
+        part.nextAsk = now + std::max<base::Duration>(item.retryAfter, base::Millis(waiting.isTaking ? 2 : 5));
+        if (item.status != ItemStatus::Granted) {
+            // Others may still be granted: they are returned when their validity ends.
+            return;
+        }
+        part.isGranted = true;
+        part.grant = { slot, epoch, item.take, item.tokens };
+        part.sentAt = sentAt;
+        if (!allParts(waiting, &BorrowerPart::isGranted))
+            return;
+        std::vector<Grant> grants;
+        base::TimePoint oldest = now;
+        for (const BorrowerPart& granted : waiting.parts) {
+            if (granted.isLeftOut)
+                continue;
+            grants.push_back(granted.grant);
+            oldest = std::min(oldest, granted.sentAt);
+        }
+        if (isValid(borrower, oldest, now))
+            grantWhole(borrower, waiting.request.id, std::move(grants), oldest + borrower.options.validity);
+    }
+
+    void answerItem(Borrower& borrower, size_t slot, const BudgetItem& asked, const BudgetItemAnswer& item,
+        int64_t epoch, base::TimePoint now)
+    {
+        Grant grant { slot, epoch, item.take, item.tokens };
+        auto found = borrower.requests.find(asked.ref);
+        bool isGranted = item.status == ItemStatus::Granted;
+        if (found == borrower.requests.end()) {
+            if (isGranted)
+                borrowerReturn(borrower, asked.account, grant, grant.tokens);
+            return;
+        }
+        BorrowerRequest& waiting = found->second;
+        waiting.hasAnswer = true;
+        if (item.status == ItemStatus::Never || item.status == ItemStatus::Unknown) {
+            refuseNever(borrower, asked.ref);
+            return;
+        }
+        borrower.slots[slot].levels[asked.account] = { item.level, now };
+        if (asked.mode == ItemMode::Probe || asked.mode == ItemMode::TakeInOrder) {
+            answerPart(borrower, waiting, slot, item, epoch, now);
+            return;
+        }
+        waiting.isInFlight = false;
+        if (item.status == ItemStatus::Queued) {
+            waiting.isQueued = true;
+            waiting.order = item.order;
+            return;
+        }
+        if (!isGranted)
+            return;
+        base::TimePoint sentAt = borrower.slots[slot].sentAt;
+        if (isValid(borrower, sentAt, now)) {
+            grantWhole(borrower, asked.ref, { grant }, sentAt + borrower.options.validity);
+            return;
+        }
+        // The answer came too late to use. The request may try this home again.
+        borrowerReturn(borrower, asked.account, grant, grant.tokens);
+        waiting.triedSlots &= ~(1ull << slot);
+        --waiting.homesTried;
+    }
+
+} // namespace
+
+void borrowerAnswer(Borrower& borrower, size_t slot, const BudgetAnswer& answer, base::TimePoint now)
+{
+    BorrowerSlot& state = borrower.slots[slot];
+    if (!answer.epoch || answer.items.size() != state.sent.items.size()) {
+        borrowerFail(borrower, slot, now);
+        return;
+    }
+    state.isBusy = false;
+    state.failures = 0;
+    state.epoch = answer.epoch;
+    BudgetCall sent = std::move(state.sent);
+    state.sent = {};
+    for (size_t i = 0; i < sent.items.size(); ++i)
+        answerItem(borrower, slot, sent.items[i], answer.items[i], answer.epoch, now);
+}
+
+void borrowerFail(Borrower& borrower, size_t slot, base::TimePoint now)
+{
+    BorrowerSlot& state = borrower.slots[slot];
+    state.isBusy = false;
+    state.retryAt = now + failurePause * (1 << std::min(state.failures, failureDoublings));
+    ++state.failures;
+    state.levels.clear();
+    // Returns that were lost stay lost; repeating them could restore tokens twice.
+    for (const BudgetItem& asked : state.sent.items) {
+        auto found = borrower.requests.find(asked.ref);
+        if (found == borrower.requests.end())
+            continue;
+        found->second.isInFlight = false;
+        if (asked.mode == ItemMode::Enqueue)
+            ++found->second.leadsTried;
+        bool isPart = asked.mode == ItemMode::Probe || asked.mode == ItemMode::TakeInOrder;
+        if (isPart && slot < found->second.parts.size())
+            found->second.parts[slot].nextAsk = state.retryAt;
+    }
+    state.sent = {};
+}
+
+} // namespace rattanshunt::budget
--- /dev/null
+++ b/src/fleet/FleetSession.cpp
@@ -0,0 +1,121 @@
+// This daemon's role and its session in the platform's store.
+#include "fleet/FleetImpl.h"
+
+namespace rattanshunt::fleet {
+
+// ---- Roles ---------------------------------------------------------------------------------------
+
+bool Fleet::Impl::shouldWatch() const
+{
+    auto relays = relaysOf(sessions, options.self.dataCenter, options.relaysPerDataCenter);
+    bool isChosen = std::any_of(
+        relays.begin(), relays.end(), [&](const Session& session) { return session.name == options.self.name; });
+    return isChosen || relays.empty();
+}
+
+void Fleet::Impl::roleLoop()
+{
+    while (!isStopped) {
+        bool should = shouldWatch();
+        if (should && !isWatching) {
+            isWatching = true;
+            base::logEvent(LogLevel::Info, "fleet.relay", { { "on", "true" }, { "revision", mirror.revision } });
+            loop.spawn([self = shared_from_this()] { self->watchLoop(); });
+            loop.spawn([self = shared_from_this()] { self->headLoop(); });
+            loop.spawn([self = shared_from_this()] { self->listLoop(); });
+        } else if (!should && isWatching) {
+            isWatching = false;
+            base::logEvent(LogLevel::Info, "fleet.relay", { { "on", "false" } });
+        }
+        net::sleepFor(roleCheckInterval);
+    }
+}
+
+// ---- Session -------------------------------------------------------------------------------------
+
+bool Fleet::Impl::writeSession()
+{
+    if (!lease) {
+        platform::KvLeaseResult granted = kv.leaseGrant(options.sessionTime);
+        if (granted.error != KvError::None)
+            return false;
+        lease = granted.lease;
+    }
+    std::string key = sessionKvKey(options.self.name);
+    std::string text = sessionToText(options.self);
+    platform::KvRangeResult read = kv.get(key);
+    if (read.error != KvError::None)
+        return false;
+    std::optional<Session> present;
+    Revision expected = 0;
+    if (!read.entries.empty()) {
+        present = sessionFromText(read.entries.front().value);
+        expected = read.entries.front().modRevision;
+        if (present && present->incarnation == options.self.incarnation && read.entries.front().lease == lease
+            && read.entries.front().value == text)
+            return true;
+    }
+    SessionConflict conflict = sessionConflict(options.self, present);
+    if (conflict == SessionConflict::NameInUse) {
+        base::logEvent(LogLevel::Error, "fleet.name_in_use",
+            { { "name", options.self.name }, { "holder", base::formatAddress(present->peerAddress) } });
+        net::sleepFor(nameConflictPause);
+        return false;
+    }
+    platform::KvSwapResult swap = platform::kvSwap(kv, key, expected, text, lease);
+    if (swap.outcome != platform::KvSwapOutcome::Done)
+        return false;
+    noteWritten(key, text, swap.modRevision);
+    base::logEvent(LogLevel::Info, "fleet.session",
+        { { "name", options.self.name }, { "incarnation", options.self.incarnation },
+            { "revision", swap.modRevision } });
+    return true;
+}
+
+void Fleet::Impl::noteWritten(const std::string& key, const std::string& value, Revision modRevision)
+{
+    auto found = mirror.records.find(key);
+    bool isNewer = found == mirror.records.end() || found->second.modRevision < modRevision;
+    if (!isNewer || modRevision <= mirror.revision)
+        return;
+    // The mirror's revision stays: records of others between the two may still be on their way.
+    change([&] {
+        Revision created = found == mirror.records.end() ? modRevision : found->second.createRevision;
+        mirror.records[key] = { value, modRevision, created };
+        ++mirror.changeCount;
+    });
+}
+
+void Fleet::Impl::renewLoop()
+{
+    while (!isStopped) {
+        net::sleepFor(options.sessionTime / renewalsPerSession);
+        if (isStopped || isLeaving)
+            continue;
+        if (lease) {
+            platform::KvLeaseResult renewed = kv.leaseRenew(lease);
+            if (renewed.error != KvError::None)
+                continue;
+            if (renewed.lease) {
+                writeSessionIfMissing();
+                continue;
+            }
+            base::logEvent(LogLevel::Warning, "fleet.session_lapsed", { { "name", options.self.name } });
+            base::counterAdd("fleet_session_lapses_total");
+            lease = 0;
+        }
+        while (!isStopped && !isLeaving && !writeSession())
+            net::sleepFor(retryPause);
+    }
+}
+
+void Fleet::Impl::writeSessionIfMissing()
+{
+    for (const Session& session : sessions) {
+        if (session.name == options.self.name && session.incarnation == options.self.incarnation)
+            return;
+    }
+    writeSession();
+}
+
+} // namespace rattanshunt::fleet
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -1,3 +1,4 @@
+// One class in one file: a connection from its first byte to its last, in Boost.Beast, whose types stay here.
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
--- /dev/null
+++ b/src/placement/PlacementOwner.cpp
@@ -0,0 +1,179 @@
+// Who owns the placement, and what the owner works with.
+#include "placement/PlacementImpl.h"
+
+namespace rattanshunt::placement {
+
+// ---- Ownership -----------------------------------------------------------------------------------
+
+std::optional<OwnerRecord> PlacementService::Impl::ownerRecord(Revision* revision) const
+{
+    auto found = fleet.mirror().records.find(std::string(ownerKey));
+    if (found == fleet.mirror().records.end())
+        return std::nullopt;
+    if (revision)
+        *revision = found->second.modRevision;
+    return ownerFromText(found->second.value);
+}
+
+void PlacementService::Impl::ownerLoop()
+{
+    while (!isStopped) {
+        net::sleepFor(ownerCheckInterval);
+        checkOwner();
+    }
+}
+
+void PlacementService::Impl::checkOwner()
+{
+    Revision revision = 0;
+    auto record = ownerRecord(&revision);
+    bool isOwn = record && record->holder == fleet.self().name && record->incarnation == fleet.self().incarnation;
+    if (isOwn && !isOwner && !isClaiming)
+        becomeOwner(*record, revision);
+    if (!isOwn && isOwner) {
+        base::logEvent(LogLevel::Warning, "placement.ownership_lost", { { "epoch", epoch } });
+        isOwner = false;
+    }
+    if (isOwn || isClaiming || !fleet.isMember())
+        return;
+    auto holder = record ? fleet.sessionNamed(record->holder) : std::nullopt;
+    bool isHeld = holder && holder->incarnation == record->incarnation;
+    if (isHeld) {
+        goneSince = {};
+        return;
+    }
+    base::TimePoint now = base::Clock::now();
+    if (goneSince == base::TimePoint {})
+        goneSince = now;
+    auto ranked = fleet::ownersRank(fleet.sessions(), "placement");
+    for (size_t rank = 0; rank < ranked.size(); ++rank) {
+        bool isTurn
+            = ranked[rank].name == fleet.self().name && now >= goneSince + ownerRankDelay * static_cast<int>(rank);
+        if (isTurn)
+            claimOwnership(record, revision);
+    }
+}
+
+void PlacementService::Impl::claimOwnership(const std::optional<OwnerRecord>& former, Revision expected)
+{
+    isClaiming = true;
+    OwnerRecord record { fleet.self().name, fleet.self().incarnation, former ? former->epoch + 1 : 1,
+        base::randomId() };
+    fleet.loop().spawn([self = shared_from_this(), record, expected] {
+        std::string text = ownerToText(record);
+        platform::KvSwapResult swap = platform::kvSwap(self->fleet.kv(), std::string(ownerKey), expected, text);
+        if (swap.outcome == platform::KvSwapOutcome::Done)
+            self->fleet.noteWritten(std::string(ownerKey), text, swap.modRevision);
+        self->isClaiming = false;
+    });
+}
+
+void PlacementService::Impl::becomeOwner(const OwnerRecord& record, Revision revision)
+{
+    isClaiming = true;
+    fleet.loop().spawn([self = shared_from_this(), record, revision] {
+        if (self->readRecords()) {
+            self->epoch = record.epoch;
+            self->ownerRevision = revision;
+            self->lastFencing = std::max(self->lastFencing, record.epoch * fencingPerEpoch);
+            self->goneSince = {};
+            self->isOwner = true;
+            base::logEvent(LogLevel::Info, "placement.owner", { { "epoch", record.epoch } });
+            self->updateInputs();
+            self->postPlan();
+        }
+        self->isClaiming = false;
+    });
+}
+
+bool PlacementService::Impl::readRecords()
+{
+    platform::KvRangeResult models = fleet.kv().range(std::string(modelPrefix));
+    platform::KvRangeResult ledgers = fleet.kv().range(std::string(ledgerPrefix));
+    if (models.error != KvError::None || ledgers.error != KvError::None)
+        return false;
+    ++generation;
+    PlannerOptions options = planner.options;
+    planner = {};
+    planner.options = options;
+    modelRevisions.clear();
+    ledgerRevisions.clear();
+    demand.clear();
+    base::TimePoint now = base::Clock::now();
+    for (const platform::KvEntry& entry : models.entries) {
+        std::string name = entry.key.substr(modelPrefix.size());
+        modelRevisions[name] = entry.modRevision;
+        if (auto record = modelRecordFromText(entry.value))
+            planner.models[name].places = std::move(record->places);
+        planner.models[name].name = name;
+        planner.models[name].lastUsed = now;
+    }
+    for (const platform::KvEntry& entry : ledgers.entries) {
+        std::string id = entry.key.substr(ledgerPrefix.size());
+        ledgerRevisions[id] = entry.modRevision;
+        if (auto ledger = ledgerFromText(entry.value))
+            planner.endpoints[id].ledger = std::move(*ledger);
+        planner.endpoints[id].id = id;
+        planner.endpoints[id].isLive = false;
+    }
+    return true;
+}
+
+// ---- Inputs of the owner -------------------------------------------------------------------------
+
+void PlacementService::Impl::updateInputs()
+{
+    if (!isOwner)
+        return;
+    for (auto& [name, model] : planner.models)
+        clearSpec(model);
+    for (auto& [name, spec] : catalog->models) {
+        PlannerModel& model = planner.models[name];
+        model.name = name;
+        model.pool = spec.pool;
+        model.bytes = spec.bytes;
+        model.replicas = spec.replicas;
+        model.minReplicas = spec.minReplicas;
+        model.idleTime = spec.idleTime;
+    }
+    for (auto& [name, spec] : catalog->adapters) {
+        auto base = catalog->models.find(spec.model);
+        if (base == catalog->models.end())
+            continue;
+        PlannerModel& model = planner.models[name];
+        model.name = name;
+        model.base = spec.model;
+        model.pool = base->second.pool;
+        model.bytes = spec.bytes;
+        model.replicas = base->second.replicas;
+        model.idleTime = base->second.idleTime;
+    }
+    for (auto& [id, entry] : fleet.mirror().list)
+        updateEndpoint(entry.instance);
+}
+
+void PlacementService::Impl::clearSpec(PlannerModel& model)
+{
+    model.replicas = 0;
+    model.minReplicas = 0;
+    model.idleTime = base::Duration::zero();
+}
+
+void PlacementService::Impl::updateEndpoint(const platform::Instance& instance)
+{
+    if (!instance.memoryBytes)
+        return;
+    PlannerEndpoint& endpoint = planner.endpoints[instance.id];
+    endpoint.id = instance.id;
+    endpoint.pool = instance.pool;
+    endpoint.memoryBytes = instance.memoryBytes;
+    endpoint.isLive = instance.state == platform::InstanceState::Live;
+    endpoint.isGone = instance.state == platform::InstanceState::Gone;
+    EndpointWork& entry = work[instance.id];
+    // Only the endpoint itself says which start it is: the list lags and may name an older or a newer one.
+    endpoint.boot = entry.reportedBoot;
+    entry.address = instance.address;
+    entry.checksFencing = instance.checksFencing;
+}
+
+} // namespace rattanshunt::placement
