Serve requests that have arrived before a stop or an idle timeout closes their connection

Cause: stopAccepting() closed idle connections whose next request was in the socket already, dropped connections that the system had established and nobody had accepted, and an idle timer that ran before the socket was read, on a thread that was busy, closed a connection with a whole request in it. Change: connections with unread bytes are served; established connections are accepted before the listening socket is closed; the gateway's exit waits for connections that are still read.

--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -244,9 +244,11 @@
             while (BootClock::now() < std::min(exitDeadline, startedAt + loadBalancerDelay))
                 net::sleepFor(drainPollInterval);
             m_gateway.stopAccepting();
-            while (m_gateway.requestsInFlight() && BootClock::now() < exitDeadline)
+            // Connections count too: a request may have arrived that is not read completely yet.
+            while ((m_gateway.requestsInFlight() || m_gateway.connectionCount()) && BootClock::now() < exitDeadline)
                 net::sleepFor(drainPollInterval);
-            base::logEvent(LogLevel::Info, "gateway.stopped", { { "cut", m_gateway.requestsInFlight() } });
+            base::logEvent(LogLevel::Info, "gateway.stopped",
+                { { "cut", m_gateway.requestsInFlight() }, { "connections", m_gateway.connectionCount() } });
             m_hasStopped = true;
             base::logFlush();
             // Exits without destroying anything: fibers of unfinished requests still refer to this object.
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -25,6 +25,7 @@
 
     constexpr int acceptBacklog = 1024;
     constexpr base::Millis acceptRetryDelay { 50 };
+    constexpr base::Millis firstBytesTimeoutAtStop { 200 }; // on a connection that was opened just before the stop
 
     struct ServerState {
         Loop& loop;
@@ -46,7 +47,7 @@
         {
             ++m_server->connections;
             m_server->closeHandlers[m_number] = [this](bool closesBusy) {
-                if (!m_isIdle && !closesBusy)
+                if (!closesBusy && (!m_isIdle || hasUnreadBytes()))
                     return;
                 m_isBroken = m_isBroken || !m_isIdle;
                 closeSocket();
@@ -193,17 +194,33 @@
             return !m_isBroken;
         }
 
-        // Waits for the first bytes of the next request. Returns false if none arrived within the idle timeout.
+        bool hasUnreadBytes() { return socketPeek(m_socket.native_handle()) == SocketPeek::HasBytes; }
+
+        // Waits for the first bytes of the next request. Returns false if none arrived within the idle timeout. Bytes
+        // that are in the socket already are served even if the server stops or the timeout is over: on a busy thread
+        // the timer may run before the socket is read.
         bool waitForRequest()
         {
             if (m_buffer.size())
                 return true;
-            if (m_server->isStopping)
+            if (m_server->isStopping && !m_isNew && !hasUnreadBytes())
                 return false;
             m_isIdle = true;
-            IoResult result = awaitWithTimeout(m_server->limits.idleTimeout,
-                [&](auto handler) { m_socket.async_read_some(m_buffer.prepare(readChunkBytes), std::move(handler)); });
+            base::Duration timeout = m_server->isStopping ? firstBytesTimeoutAtStop : m_server->limits.idleTimeout;
+            TimerId timer = m_server->loop.timers().subscribe(base::Clock::now() + timeout, [this] {
+                if (!hasUnreadBytes())
+                    closeSocket();
+            });
+            // Waits without reading, so that hasUnreadBytes() sees the bytes until they are read below.
+            IoResult result
+                = awaitIo([&](auto handler) { m_socket.async_wait(Tcp::socket::wait_read, std::move(handler)); });
+            m_server->loop.timers().cancel(timer);
             m_isIdle = false;
+            m_isNew = false;
+            if (result.error || !m_socket.is_open())
+                return false;
+            result = awaitWithTimeout(m_server->limits.headerTimeout,
+                [&](auto handler) { m_socket.async_read_some(m_buffer.prepare(readChunkBytes), std::move(handler)); });
             if (result.error)
                 return false;
             m_buffer.commit(result.bytes);
@@ -353,27 +370,44 @@
         bool m_hasResponded = false;
         bool m_isStreamOpen = false;
         bool m_isBroken = false;
+        bool m_isNew = true; // no request has arrived yet
         bool m_isIdle = false;
         bool m_isWaitPending = false;
     };
 
+    void startConnection(const std::shared_ptr<ServerState>& server, Tcp::socket socket)
+    {
+        if (server->connections >= server->limits.maxConnections) {
+            base::counterAdd("http_connections_refused_total");
+            return;
+        }
+        auto connection = std::make_shared<Connection>(server, std::move(socket));
+        server->loop.spawn([connection] { connection->serve(); });
+    }
+
     void acceptConnections(const std::shared_ptr<ServerState>& server)
     {
         while (!server->isStopping) {
             Tcp::socket socket(server->loop.io());
             IoResult result = awaitIo([&](auto handler) { server->acceptor.async_accept(socket, std::move(handler)); });
-            if (server->isStopping)
-                break;
-            if (result.error) {
+            if (!result.error)
+                startConnection(server, std::move(socket));
+            else if (!server->isStopping)
                 sleepFor(acceptRetryDelay);
-                continue;
-            }
-            if (server->connections >= server->limits.maxConnections) {
-                base::counterAdd("http_connections_refused_total");
-                continue;
-            }
-            auto connection = std::make_shared<Connection>(server, std::move(socket));
-            server->loop.spawn([connection] { connection->serve(); });
+        }
+    }
+
+    // The system has established these connections, and their callers may have sent a request. Closing the listening
+    // socket would reset them.
+    void acceptEstablished(const std::shared_ptr<ServerState>& server)
+    {
+        ErrorCode error;
+        server->acceptor.non_blocking(true, error);
+        while (!error) {
+            Tcp::socket socket(server->loop.io());
+            server->acceptor.accept(socket, error);
+            if (!error)
+                startConnection(server, std::move(socket));
         }
     }
 
@@ -402,6 +436,8 @@
     HttpServerHandle handle;
     handle.address = { address.ip, server->acceptor.local_endpoint().port() };
     handle.stopAccepting = [server] {
+        if (!server->isStopping)
+            acceptEstablished(server);
         server->isStopping = true;
         ErrorCode ignored;
         server->acceptor.close(ignored);
