Bound answers without end, tell late copies from answers, count load from a response's head

Bodies, events and unparsed bytes have limits; the attempt ends as unknown, its connection is closed, the replica counts as failing. serve waited without limit for the end of a body after a stream's end mark, and any byte extended the time of a stalled stream; both end now. Late copies: an answer without an id, on a connection in use again, was delivered to the next caller (gateway; test failed first). It counts as unknown now; serve reuses connections only to services that tell ids. Load: a response's load was taken over at the end of the stream, as if it were new, and requests of this daemon that ended together counted as others'; a replica then looked full for two half-lives (16 callers, 2 replicas: 32 requests in 0.8 s).

--- a/lab/EngineStandIn.cpp
+++ b/lab/EngineStandIn.cpp
@@ -1,3 +1,4 @@
+// Long because one class holds the state of an engine: orders, batch, generation and injected faults.
 #include "EngineStandIn.h"
 
 #include <set>
@@ -14,6 +15,8 @@
 namespace {
 
     constexpr double bytesPerToken = 4; // of the prompt, for the reported usage
+    constexpr base::Millis dribbleInterval { 50 };
+    constexpr size_t endlessPieceBytes = 16 * 1024;
 
     net::HttpResponse jsonResponse(const json& body, int status = 200)
     {
@@ -71,6 +74,9 @@
     int cutAfterTokens = -1;
     base::Millis orderDelay { 0 };
     bool sendsForeignResponses = false;
+    int dribbleAfterTokens = -1;
+    int endlessAfterTokens = -1;
+    bool sendsTrailingBytes = false;
 
     void handleRequest(net::HttpExchange& exchange)
     {
@@ -317,6 +323,14 @@
                 cutAfterTokens = -1;
                 return;
             }
+            if (dribbleAfterTokens >= 0 && static_cast<int>(i) >= dribbleAfterTokens) {
+                sendNowAndThen(exchange, isDisconnected);
+                return;
+            }
+            if (endlessAfterTokens >= 0 && static_cast<int>(i) >= endlessAfterTokens) {
+                while (!isDisconnected && !isCrashed && exchange.sendChunk(std::string(endlessPieceBytes, 'x'))) { }
+                return;
+            }
             json event = { { "id", id },
                 { "choices", json::array({ { { "index", 0 }, { "text", generatedToken(prompt, i) } } }) } };
             if (!exchange.sendChunk("data: " + event.dump() + "\n\n"))
@@ -328,9 +342,17 @@
             { "usage",
                 { { "prompt_tokens", promptTokens }, { "completion_tokens", count - std::min(from, count) } } } };
         exchange.sendChunk("data: " + last.dump() + "\n\ndata: [DONE]\n\n");
+        if (sendsTrailingBytes)
+            sendNowAndThen(exchange, isDisconnected);
         exchange.finishStream();
     }
 
+    void sendNowAndThen(net::HttpExchange& exchange, const bool& isDisconnected)
+    {
+        while (!isDisconnected && !isCrashed && !isStopped && exchange.sendChunk(":"))
+            net::sleepFor(dribbleInterval);
+    }
+
     void generateNonStreaming(net::HttpExchange& exchange, const std::string& id, const std::string& prompt,
         size_t count, double promptTokens)
     {
@@ -357,6 +379,10 @@
         cutAfterTokens = body.value("cut_after", cutAfterTokens);
         orderDelay = base::Millis(body.value("delay_orders_ms", orderDelay.count()));
         sendsForeignResponses = body.value("foreign_answers", sendsForeignResponses);
+        options.timePerToken = base::Micros(body.value("token_us", options.timePerToken.count()));
+        dribbleAfterTokens = body.value("dribble_after", dribbleAfterTokens);
+        endlessAfterTokens = body.value("endless_after", endlessAfterTokens);
+        sendsTrailingBytes = body.value("trailing", sendsTrailingBytes);
         return jsonResponse(json::object());
     }
 };
--- a/lab/EngineStandIn.h
+++ b/lab/EngineStandIn.h
@@ -4,11 +4,14 @@
 //   POST /v1/completions     completion; streamed if "stream" is true
 //   GET  /state              models, memory, queue, fencing and counters
 //   POST /orders             loads or unloads a model or an adapter
-//   POST /faults             {"silent_after": n, "cut_after": n, "delay_orders_ms": n, "foreign_answers": bool}
+//   POST /faults             {"silent_after": n, "cut_after": n, "delay_orders_ms": n, "foreign_answers": bool,
+//                            "dribble_after": n, "endless_after": n, "trailing": bool, "token_us": n}
 //
 // "silent_after": a stream stops producing after n tokens without closing; -1 ends the fault. "cut_after": the next
 // stream that gets past n tokens is closed without an end mark. "delay_orders_ms": wait before an order is processed.
-// "foreign_answers": responses carry the identifier of another request.
+// "foreign_answers": responses carry the identifier of another request. "dribble_after": a stream sends after n tokens
+// only a byte now and then. "endless_after": after n tokens it sends one event without end. "trailing": after its end
+// mark a stream goes on to send a byte now and then. -1 and false end a fault.
 //
 // Every generated token is a function of the prompt and the token's position, so a caller can verify each one with
 // generatedToken(). Thread safety: use from the loop's thread only.
--- a/lab/GatewayFleet.cpp
+++ b/lab/GatewayFleet.cpp
@@ -57,9 +57,10 @@
     return *m_replicas.back().second;
 }
 
-LabGateway& GatewayFleet::addGateway(const std::string& name)
+LabGateway& GatewayFleet::addGateway(const std::string& name, std::optional<base::Address> store)
 {
-    m_gateways.push_back(std::make_unique<LabGateway>(m_loop, m_store.address(), name, gatewayOptions, hubSyncOptions));
+    m_gateways.push_back(
+        std::make_unique<LabGateway>(m_loop, store.value_or(m_store.address()), name, gatewayOptions, hubSyncOptions));
     LabGateway& gateway = *m_gateways.back();
     std::string error;
     gateway.gateway.listen({ "127.0.0.1", 0 }, error);
--- a/lab/GatewayFleet.h
+++ b/lab/GatewayFleet.h
@@ -42,7 +42,7 @@
     ~GatewayFleet();
 
     ReplicaStandIn& addReplica(ReplicaStandInOptions);
-    LabGateway& addGateway(const std::string& name);
+    LabGateway& addGateway(const std::string& name, std::optional<base::Address> store = std::nullopt);
     void publishEntry(ReplicaStandIn&, bool isDraining = false); // writes its directory entry to the store
     void removeEntry(ReplicaStandIn&);                           // deletes its directory entry from the store
     void configure(const std::string& json);                     // writes the configuration to the store
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -15,7 +15,11 @@
 
     constexpr size_t maxUnstreamedTokens = 16; // up to this length, responses are requested without a stream
     constexpr int maxCompletionAttempts = 4;
-    constexpr base::Millis notExecutedDelay { 20 }; // before a retry after an attempt that was not executed
+    constexpr base::Millis notExecutedDelay { 20 };  // before a retry after an attempt that was not executed
+    constexpr size_t maxResponseBytes = 1024 * 1024; // of a response that is not a stream, and of an engine's error
+    constexpr size_t maxEventBytes = 128 * 1024;     // of one event of a stream
+    constexpr base::Millis streamEndTimeout { 200 }; // from the end mark of a stream to the end of its body
+    constexpr size_t maxBytesAfterStream = 4096;     // after the end mark of a stream
 
     // The state of one completion across its attempts.
     struct EngineCall {
@@ -68,6 +72,13 @@
         return AttemptOutcome::Unknown;
     }
 
+    AttemptOutcome endTooLarge(net::HttpConnection& connection)
+    {
+        base::counterAdd("engine_answers_too_large_total");
+        connection.cancel();
+        return AttemptOutcome::Unknown;
+    }
+
     AttemptOutcome forwardResponse(ThreadState& thread, RequestState& request, net::HttpConnection& connection)
     {
         std::string body;
@@ -77,6 +88,8 @@
         while (!isEnd) {
             if (connection.readSome(body, isEnd, deadline) != net::HttpCallError::None)
                 return AttemptOutcome::Unknown;
+            if (body.size() > maxResponseBytes)
+                return endTooLarge(connection);
         }
         json engineResponse = json::parse(body, nullptr, false);
         if (!endpoints::engineResponseMatches(engineResponse, request.id)) {
@@ -130,6 +143,20 @@
             body.dump(-1, ' ', false, json::error_handler_t::replace) });
     }
 
+    // Reads what follows the end mark of a stream, so that the connection can be reused; closes it if that is long.
+    void readStreamEnd(net::HttpConnection& connection)
+    {
+        base::TimePoint deadline = base::Clock::now() + streamEndTimeout;
+        std::string rest;
+        bool isEnd = false;
+        while (!isEnd && rest.size() <= maxBytesAfterStream) {
+            if (connection.readSome(rest, isEnd, deadline) != net::HttpCallError::None)
+                return;
+        }
+        if (!isEnd)
+            connection.cancel();
+    }
+
     AttemptOutcome forwardStream(
         ThreadState& thread, RequestState& request, EngineCall& call, net::HttpConnection& connection)
     {
@@ -137,14 +164,18 @@
         stream.requestId = request.id;
         bool isEnd = false;
         size_t deliveredBefore = call.deliveredTokens;
-        base::Millis readTimeout = thread.context.settings.firstTokenTimeout;
+        // Bytes that complete no event do not extend the time: a stalled engine may send some now and then.
+        base::TimePoint eventDeadline = base::Clock::now() + thread.context.settings.firstTokenTimeout;
         while (!isEnd && !stream.isDone) {
             std::string bytes;
-            base::TimePoint deadline = std::min(request.deadline, base::Clock::now() + readTimeout);
-            if (connection.readSome(bytes, isEnd, deadline) != net::HttpCallError::None)
+            if (connection.readSome(bytes, isEnd, std::min(request.deadline, eventDeadline))
+                != net::HttpCallError::None)
                 return AttemptOutcome::Unknown;
-            readTimeout = thread.context.settings.streamTimeout;
             std::string events = endpoints::engineStreamFeed(stream, bytes);
+            if (stream.partialEvent.size() > maxEventBytes)
+                return endTooLarge(connection);
+            if (!events.empty())
+                eventDeadline = base::Clock::now() + thread.context.settings.streamTimeout;
             if (stream.hasForeignEvent) {
                 base::counterAdd("engine_answers_foreign_total");
                 connection.cancel();
@@ -157,15 +188,12 @@
         }
         if (!stream.isDone)
             return AttemptOutcome::Unknown;
-        // The connection can be reused only after the end of the body was read.
-        while (!isEnd) {
-            std::string rest;
-            if (connection.readSome(rest, isEnd, base::Clock::now() + readTimeout) != net::HttpCallError::None)
-                break;
-        }
         if (stream.usageTokens > 0)
             request.usedTokens = stream.usageTokens + static_cast<double>(deliveredBefore);
-        return finishResponse(request, call) ? AttemptOutcome::Complete : markCallerGone(request);
+        bool isDelivered = finishResponse(request, call);
+        if (!isEnd)
+            readStreamEnd(connection);
+        return isDelivered ? AttemptOutcome::Complete : markCallerGone(request);
     }
 
     AttemptOutcome sendAttempt(ThreadState& thread, RequestState& request, EngineCall& call,
@@ -173,7 +201,8 @@
     {
         const settings::Settings& settings = thread.context.settings;
         base::TimePoint now = base::Clock::now();
-        if (!connection.isConnected()
+        bool wasReused = connection.isConnected();
+        if (!wasReused
             && connection.connect(std::min(request.deadline, now + settings.connectTimeout))
                 != net::HttpCallError::None) {
             thread.replicaScheduler.recordFailure(endpoint);
@@ -187,9 +216,22 @@
             return AttemptOutcome::Unknown;
         recordLoad(endpoint, head.headers);
         if (head.status != 200) {
+            // A reused connection may hold the late copy of an earlier response. An error without an id is taken as
+            // this request's, and its connection is closed, which ends the request if it was not.
+            std::string_view responseId = net::httpHeader(head.headers, headerRequestId);
+            if (wasReused && responseId != request.id) {
+                connection.cancel();
+                if (responseId.empty())
+                    return outcomeOfStatus(head.status);
+                base::counterAdd("engine_answers_foreign_total");
+                return AttemptOutcome::Unknown;
+            }
             bool isEnd = false;
             std::string body;
-            while (!isEnd && connection.readSome(body, isEnd, deadline) == net::HttpCallError::None) { }
+            while (!isEnd && connection.readSome(body, isEnd, deadline) == net::HttpCallError::None) {
+                if (body.size() > maxResponseBytes)
+                    return endTooLarge(connection);
+            }
             return outcomeOfStatus(head.status);
         }
         return call.usesStream ? forwardStream(thread, request, call, connection)
--- a/src/entry/ServeRoute.cpp
+++ b/src/entry/ServeRoute.cpp
@@ -15,6 +15,7 @@
 
     constexpr int maxCallAttempts = 3;
     constexpr size_t maxIdempotencyKeyBytes = 256;
+    constexpr size_t maxResponseBytes = 1024 * 1024; // of a service's response
 
     // Headers that are forwarded to a service. The API key and connection headers are not.
     bool isForwardedHeader(const std::string& name)
@@ -50,7 +51,8 @@
             request.connectionToCancel = connection.get();
         auto guard = std::make_unique<ActiveConnectionGuard>(thread, connection.get());
         net::HttpCallError error = net::HttpCallError::None;
-        if (!connection->isConnected())
+        bool wasReused = connection->isConnected();
+        if (!wasReused)
             error = connection->connect(
                 std::min(request.deadline, base::Clock::now() + thread.context.settings.connectTimeout));
         bool isSent = error == net::HttpCallError::None;
@@ -61,20 +63,29 @@
         if (error == net::HttpCallError::None)
             error = connection->readHead(response, request.deadline);
         bool isEnd = false;
-        while (error == net::HttpCallError::None && !isEnd)
+        while (error == net::HttpCallError::None && !isEnd) {
             error = connection->readSome(response.body, isEnd, request.deadline);
+            if (error == net::HttpCallError::None && response.body.size() > maxResponseBytes) {
+                base::counterAdd("service_answers_too_large_total");
+                error = net::HttpCallError::Malformed;
+            }
+        }
         request.connectionToCancel = nullptr;
         guard.reset();
         if (!isSent)
             return AttemptOutcome::NotExecuted;
         if (error != net::HttpCallError::None)
             return AttemptOutcome::Unknown;
-        thread.connectionPool.release(std::move(connection));
+        // A reused connection may hold the late copy of an earlier response. Only connections whose responses carry
+        // request ids are reused, so there a response without one is not this request's.
         std::string_view responseRequestId = net::httpHeader(response.headers, headerRequestId);
-        if (!responseRequestId.empty() && responseRequestId != request.id) {
+        bool isForeign = responseRequestId != request.id && (wasReused || !responseRequestId.empty());
+        if (isForeign) {
             base::counterAdd("service_answers_foreign_total");
             return AttemptOutcome::Unknown;
         }
+        if (!responseRequestId.empty())
+            thread.connectionPool.release(std::move(connection));
         // A service sets this header if it refused the call before executing any of it.
         if (net::httpHeader(response.headers, "X-Not-Run") == "true")
             return AttemptOutcome::NotExecuted;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -37,6 +37,7 @@
     , m_codec(codec)
     , m_hubSync(hubSync)
     , m_connectionPool(loop, m_options.connections)
+    , m_responseMemory { m_options.responseMemory }
 {
     m_options.retryBudget.processStartedAt = BootClock::now();
 }
@@ -81,7 +82,7 @@
             net::sleepFor(m_options.sweepInterval);
             m_connectionPool.closeExpired();
             std::erase_if(m_replicaStats, [&](auto& item) {
-                return item.second.ownInFlight == 0 && !m_hubSync.directory().replicas.contains(item.first);
+                return item.second.ownLoad.inFlight == 0 && !m_hubSync.directory().replicas.contains(item.first);
             });
         }
     });
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/OwnLoad.h"
 #include "gateway/ReplicaConnectionPool.h"
 #include "gateway/ReplicaSelection.h"
 #include "gateway/RequestContext.h"
@@ -44,7 +45,9 @@
     ReplicaSelectionOptions engineSelection;
     // Replicas without an engine have few slots and short calls: one request more or less causes no waiting.
     ReplicaSelectionOptions plainSelection { .connectionCost = 0.2 };
+    OwnLoadOptions ownLoad;
     ReplicaConnectionOptions connections;
+    ResponseMemoryOptions responseMemory;
 };
 
 // ---- [2] Gateway -------------------------------------------------------------------------------
@@ -66,6 +69,9 @@
     hub::DemandTable demand();                                  // this daemon's current demand
     base::Address address() const { return m_server->address; } // as bound; valid after listen()
     size_t requestsInFlight() const { return m_requests.size(); }
+
+    // Connections of callers; after stopAccepting(), only those with a request that is being read or served.
+    size_t connectionCount() const { return m_server->connectionCount(); }
     bool isDraining() const { return m_isDraining; }
     bool hasFreshConfiguration(base::BootTime now) const; // not older than maxConfigurationAgeForKeys
 
@@ -73,7 +79,7 @@
     // What this daemon has observed of a replica.
     struct ReplicaStats {
         int64_t startedAtMillis = 0;
-        double ownInFlight = 0;
+        OwnLoad ownLoad;
         double ownInFlightAtReport = 0;
         double ownAwaitingFirstByte = 0; // requests in flight whose first byte has not arrived
         double reportedInFlight = 0;
@@ -103,6 +109,7 @@
     void refuse(RequestContext&, int status, const char* reason, std::optional<base::Millis> retryAfter);
     void recordRequestEnd(const RequestContext&, int status, const char* outcome, const char* reason);
     ReplicaStats& statsOf(const directory::Replica&);
+    void recordLoad(ReplicaStats&, double running, double waiting, base::BootTime reportedAt);
     double decayedFailureScore(ReplicaStats&, base::BootTime now) const;
     void wakeWaiting();
     void decayArrivalRates(base::BootTime now);
@@ -112,6 +119,7 @@
     const WireCodec& m_codec;
     hub::HubSync& m_hubSync;
     ReplicaConnectionPool m_connectionPool;
+    ResponseMemory m_responseMemory;
     std::optional<net::HttpServerHandle> m_server;
     std::set<RequestContext*> m_requests;
     std::set<RequestContext*> m_waitingRequests;
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -37,19 +37,29 @@
 {
     ReplicaStats& stats = m_replicaStats[replica.entry.id];
     if (stats.startedAtMillis != replica.entry.startedAtMillis) {
-        stats
-            = { replica.entry.startedAtMillis, stats.ownInFlight, 0, stats.ownAwaitingFirstByte, 0, 0, {}, 0, {}, {} };
+        ReplicaStats restarted;
+        restarted.startedAtMillis = replica.entry.startedAtMillis;
+        restarted.ownLoad = std::move(stats.ownLoad);
+        restarted.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
+        stats = std::move(restarted);
         m_connectionPool.closeIdle(replica.entry.address);
     }
-    if (replica.hasReport && replica.reportRequestedAt > stats.reportedAt) {
-        stats.reportedInFlight = replica.report.running + replica.report.waiting;
-        stats.reportedWaiting = replica.report.waiting;
-        stats.reportedAt = replica.reportRequestedAt;
-        stats.ownInFlightAtReport = stats.ownInFlight;
-    }
+    if (replica.hasReport)
+        recordLoad(stats, replica.report.running, replica.report.waiting, replica.reportRequestedAt);
     return stats;
 }
 
+// Takes over what a replica reported of its load, unless a newer report is known.
+void Gateway::recordLoad(ReplicaStats& stats, double running, double waiting, BootTime reportedAt)
+{
+    if (reportedAt <= stats.reportedAt)
+        return;
+    stats.reportedInFlight = running + waiting;
+    stats.reportedWaiting = waiting;
+    stats.reportedAt = reportedAt;
+    stats.ownInFlightAtReport = ownLoadAtReport(stats.ownLoad, reportedAt, m_options.ownLoad);
+}
+
 double Gateway::decayedFailureScore(ReplicaStats& stats, BootTime now) const
 {
     double halfLives = base::secondsOf(std::max(BootClock::duration(0), now - stats.failureScoreAt))
@@ -82,7 +92,7 @@
         candidate.id = id;
         candidate.slots = replica.entry.slots;
         candidate.reportedInFlight = stats.reportedInFlight;
-        candidate.ownInFlight = stats.ownInFlight;
+        candidate.ownInFlight = stats.ownLoad.inFlight;
         candidate.ownInFlightAtReport = stats.ownInFlightAtReport;
         candidate.reportAge = now - stats.reportedAt;
         candidate.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
@@ -191,26 +201,24 @@
     ReplicaEntry entry = replica.entry; // a copy, as the directory may change during the attempt
     {
         ReplicaStats& stats = statsOf(replica);
-        stats.ownInFlight += 1;
+        ownLoadChange(stats.ownLoad, 1, BootClock::now(), m_options.ownLoad);
         stats.ownAwaitingFirstByte += 1;
     }
     request.onFirstByte = [this, id = entry.id] {
         m_replicaStats[id].ownAwaitingFirstByte = std::max(0.0, m_replicaStats[id].ownAwaitingFirstByte - 1);
     };
+    // At the head of the response: a stream may end seconds after its replica reported the load.
+    request.onLoad = [this, id = entry.id](const ResponseHead::Load& load) {
+        recordLoad(m_replicaStats[id], load.running, load.waiting, BootClock::now());
+    };
     BootTime begunAt = BootClock::now();
-    AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool);
+    AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool, m_responseMemory);
     attempts::progressCountAttempt(request.progress, result.outcome);
     if (request.onFirstByte)
         std::exchange(request.onFirstByte, nullptr)();
     BootTime now = BootClock::now();
     ReplicaStats& stats = m_replicaStats[entry.id];
-    stats.ownInFlight = std::max(0.0, stats.ownInFlight - 1);
-    if (result.load) {
-        stats.reportedInFlight = result.load->running + result.load->waiting;
-        stats.reportedWaiting = result.load->waiting;
-        stats.reportedAt = now;
-        stats.ownInFlightAtReport = stats.ownInFlight;
-    }
+    ownLoadChange(stats.ownLoad, -1, now, m_options.ownLoad);
     if (result.outcome == AttemptOutcome::Complete)
         stats.lastSuccessAt = now;
     double failureScore = decayedFailureScore(stats, now);
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-    constexpr base::Millis responseMargin { 60 };         // after the deadline, for a replica's own timeout response
-    constexpr size_t maxForeignResponses = 2;             // late responses to other requests that are skipped
-    constexpr size_t maxResponseBytes = 16 * 1024 * 1024; // body of a response that is not a stream
+    constexpr base::Millis responseMargin { 60 };   // after the deadline, for a replica's own timeout response
+    constexpr size_t maxForeignResponses = 2;       // late responses to other requests that are skipped
+    constexpr size_t maxForeignBytes = 1024 * 1024; // of the bodies of such responses
+    constexpr size_t maxEventBytes = 128 * 1024;    // of one server-sent event
 
     AttemptResult makeResult(AttemptOutcome outcome, const char* reason, bool isReplicaFault)
     {
@@ -31,6 +32,7 @@
     HttpCallError readOwnHead(
         RequestContext& request, const WireCodec& codec, net::HttpResponse& response, ResponseHead& head)
     {
+        size_t discardedBytes = 0;
         for (size_t i = 0; i <= maxForeignResponses; ++i) {
             HttpCallError error = request.connection->readHead(response, steadyDeadline(request));
             if (error != HttpCallError::None)
@@ -42,8 +44,11 @@
             bool isEnd = false;
             std::string discarded;
             while (!isEnd && error == HttpCallError::None) {
-                error = request.connection->readSome(discarded, isEnd, steadyDeadline(request));
                 discarded.clear();
+                error = request.connection->readSome(discarded, isEnd, steadyDeadline(request));
+                discardedBytes += discarded.size();
+                if (discardedBytes > maxForeignBytes)
+                    return HttpCallError::Malformed;
             }
             if (error != HttpCallError::None)
                 return error;
@@ -51,15 +56,17 @@
         return HttpCallError::Malformed;
     }
 
-    HttpCallError readBody(RequestContext& request, std::string& body)
+    HttpCallError readBody(RequestContext& request, std::string& body, ResponseMemoryShare& memory)
     {
         bool isEnd = false;
         while (!isEnd) {
             HttpCallError error = request.connection->readSome(body, isEnd, steadyDeadline(request));
             if (error != HttpCallError::None)
                 return error;
-            if (body.size() > maxResponseBytes)
+            if (!memory.resize(body.capacity())) {
+                base::counterAdd("replica_answers_too_large_total");
                 return HttpCallError::Malformed;
+            }
         }
         return HttpCallError::None;
     }
@@ -79,6 +86,10 @@
             if (request.onFirstByte)
                 std::exchange(request.onFirstByte, nullptr)();
             std::string complete = eventsSplit(request.eventSplitter, bytes);
+            if (request.eventSplitter.partial.size() > maxEventBytes) {
+                base::counterAdd("replica_answers_too_large_total");
+                return makeResult(AttemptOutcome::Unknown, "event_too_large", true);
+            }
             if (complete.empty())
                 continue;
             if (!request.progress.hasSentHead) {
@@ -106,8 +117,16 @@
         return makeResult(AttemptOutcome::Complete, "whole", false);
     }
 
-    AttemptResult readResponse(RequestContext& request, const WireCodec& codec,
-        std::optional<base::Seconds>& idleTimeout, bool& mayReuse, base::TimePoint sentAt)
+    // What the attempt needs to know of its connection, and what it learns for the next one.
+    struct ConnectionUse {
+        bool wasReused = false;
+        base::TimePoint sentAt {};
+        std::optional<base::Seconds> idleTimeout; // after which the replica closes the connection
+        bool mayReuse = false;
+    };
+
+    AttemptResult readResponse(
+        RequestContext& request, const WireCodec& codec, ResponseMemory& memory, ConnectionUse& use)
     {
         net::HttpResponse response;
         ResponseHead head;
@@ -115,14 +134,23 @@
         if (error != HttpCallError::None)
             return makeResult(
                 AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
-        base::Duration timeToFirstByte = base::Clock::now() - sentAt;
-        idleTimeout = head.idleTimeout;
+        base::Duration timeToFirstByte = base::Clock::now() - use.sentAt;
+        use.idleTimeout = head.idleTimeout;
+        if (head.load && request.onLoad)
+            request.onLoad(*head.load);
         AttemptResult result;
+        if (use.wasReused && !head.isIdentified && !head.isNotExecuted) {
+            // It may be the late copy of a response to an earlier request.
+            base::counterAdd("replica_answers_without_id_total");
+            return makeResult(AttemptOutcome::Unknown, "answer_without_id", true);
+        }
         if (head.isForwardableSuccess && request.route->isStream) {
             result = forwardStream(request, codec, response);
             result.response.status = response.status;
         } else {
-            error = readBody(request, response.body);
+            result.memory = ResponseMemoryShare(memory);
+            ResponseMemoryShare& share = result.memory;
+            error = readBody(request, response.body, share);
             if (error != HttpCallError::None)
                 result = makeResult(
                     AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
@@ -140,9 +168,8 @@
             result.response = std::move(response);
         }
         result.wasMisdirected = head.isMisdirected;
-        result.load = head.load;
         result.timeToFirstByte = timeToFirstByte;
-        mayReuse = (result.outcome != AttemptOutcome::Unknown) && !head.closesConnection;
+        use.mayReuse = (result.outcome != AttemptOutcome::Unknown) && !head.closesConnection;
         return result;
     }
 
@@ -153,17 +180,16 @@
     return std::chrono::duration_cast<base::Millis>(request.deadline - now);
 }
 
-AttemptResult attemptRun(
-    RequestContext& request, const ReplicaEntry& replica, const WireCodec& codec, ReplicaConnectionPool& pool)
+AttemptResult attemptRun(RequestContext& request, const ReplicaEntry& replica, const WireCodec& codec,
+    ReplicaConnectionPool& pool, ResponseMemory& memory)
 {
     auto connection = pool.acquire(replica.address, request.progress.retryClass);
-    bool wasConnectionReused = connection->isConnected();
+    ConnectionUse use;
+    use.wasReused = connection->isConnected();
     request.connection = connection.get();
     AttemptResult result;
-    std::optional<base::Seconds> idleTimeout;
-    bool mayReuse = false;
     base::Millis timeLeft = requestTimeLeft(request, BootClock::now());
-    if (!wasConnectionReused
+    if (!use.wasReused
         && connection->connect(base::Clock::now() + std::min(connectTimeout, timeLeft)) != HttpCallError::None) {
         request.connection = nullptr;
         return makeResult(AttemptOutcome::NotExecuted, "connect_failed", !request.hasCallerLeft);
@@ -175,18 +201,18 @@
         return makeResult(AttemptOutcome::NotExecuted, request.hasCallerLeft ? "caller_gone" : "time_over", false);
     }
     AttemptTarget target { replica.id, request.accountName, timeLeft, request.priority, request.eventSplitter.lastId };
-    base::TimePoint sentAt = base::Clock::now();
+    use.sentAt = base::Clock::now();
     HttpCallError error
         = connection->send(codec.writeAttempt(request.exchange.request(), target), steadyDeadline(request));
     if (error != HttpCallError::None)
         result = makeResult(AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
     else
-        result = readResponse(request, codec, idleTimeout, mayReuse, sentAt);
+        result = readResponse(request, codec, memory, use);
     request.connection = nullptr;
-    result.wasConnectionReused = wasConnectionReused;
+    result.wasConnectionReused = use.wasReused;
     eventsDropPartial(request.eventSplitter);
-    if (mayReuse)
-        pool.release(std::move(connection), idleTimeout);
+    if (use.mayReuse)
+        pool.release(std::move(connection), use.idleTimeout);
     return result;
 }
 
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -11,6 +11,7 @@
 
 #include "attempts/RetryPolicy.h"
 #include "gateway/ReplicaConnectionPool.h"
+#include "gateway/ResponseMemory.h"
 #include "gateway/ServerSentEvents.h"
 #include "gateway/WireCodec.h"
 #include "net/Http.h"
@@ -38,24 +39,25 @@
     base::BootTime firstByteDeadline {}; // if the first byte has not arrived by then, the caller disconnects
     RequestProgress progress {};
     EventSplitter eventSplitter {};
-    bool isAwaitingModel = false;              // waiting, and no replica has the model loaded
-    bool hasCallerLeft = false;                // the caller has disconnected
-    base::Duration totalWait { 0 };            // time spent waiting for a replica, over all attempts
-    base::BootTime firstEventAt {};            // time at which the first event of a stream was forwarded
-    base::BootTime lastEventAt {};             // time at which the last event was forwarded
-    base::Duration longestEventGap { 0 };      // between two events of the stream
-    net::HttpConnection* connection = nullptr; // to the replica, during an attempt
-    std::function<void()> onFirstByte {};      // called once per attempt, at its end at the latest
-    net::Event wakeEvent {};                   // set when something that the request waits for may have changed
+    bool isAwaitingModel = false;                             // waiting, and no replica has the model loaded
+    bool hasCallerLeft = false;                               // the caller has disconnected
+    base::Duration totalWait { 0 };                           // time spent waiting for a replica, over all attempts
+    base::BootTime firstEventAt {};                           // time at which the first event of a stream was forwarded
+    base::BootTime lastEventAt {};                            // time at which the last event was forwarded
+    base::Duration longestEventGap { 0 };                     // between two events of the stream
+    net::HttpConnection* connection = nullptr;                // to the replica, during an attempt
+    std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
+    std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
+    net::Event wakeEvent {}; // set when something that the request waits for may have changed
 };
 
 struct AttemptResult {
     AttemptOutcome outcome = AttemptOutcome::Unknown;
     const char* reason = "";
-    bool isReplicaFault = false; // counts against the replica
-    bool wasMisdirected = false; // the replica does not have the model, or is not the expected one
-    net::HttpResponse response;  // the replica's failure, or a complete response that is not a stream
-    std::optional<ResponseHead::Load> load;
+    bool isReplicaFault = false;          // counts against the replica
+    bool wasMisdirected = false;          // the replica does not have the model, or is not the expected one
+    net::HttpResponse response;           // the replica's failure, or a complete response that is not a stream
+    ResponseMemoryShare memory;           // of `response`
     base::Duration timeToFirstByte { 0 }; // from sending the request to the head of the response
     bool wasConnectionReused = false;     // the connection had been used before
 };
@@ -66,8 +68,9 @@
 // ---- [2] Attempts ------------------------------------------------------------------------------
 
 // Sends the request to one replica. Forwards the events of a stream to the caller as they arrive; any other response is
-// returned complete. Cancelled through RequestContext::connection.
-AttemptResult attemptRun(RequestContext&, const ReplicaEntry&, const WireCodec&, ReplicaConnectionPool&);
+// returned complete. Cancelled through RequestContext::connection. `memory` must outlive the result.
+AttemptResult attemptRun(
+    RequestContext&, const ReplicaEntry&, const WireCodec&, ReplicaConnectionPool&, ResponseMemory& memory);
 
 // Time left until the deadline.
 base::Millis requestTimeLeft(const RequestContext&, base::BootTime now);
--- /dev/null
+++ b/src/gateway/ResponseMemory.h
@@ -0,0 +1,70 @@
+// Bounds the memory that a daemon uses for responses that are buffered whole before they are forwarded.
+//
+// Load pattern: many replicas at once send bodies without end, until the caller closes the connection. Each response
+// may use a part that is always granted, which covers usual responses; what it needs beyond comes from one allowance
+// for the whole daemon, so that usual responses are served while endless ones are given up.
+//
+// Own thread only.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace rattanshunt::gateway {
+
+struct ResponseMemoryOptions {
+    size_t grantedBytes = 64 * 1024;          // that every response may use
+    size_t maxBytes = 4 * 1024 * 1024;        // of one response
+    size_t maxSharedBytes = 16 * 1024 * 1024; // of all responses together, beyond their granted parts
+};
+
+// The allowance of one daemon.
+struct ResponseMemory {
+    ResponseMemoryOptions options;
+    size_t sharedBytes = 0; // in use
+};
+
+// The part of one response; returned when it is destroyed. Movable. Must not outlive the ResponseMemory.
+class ResponseMemoryShare {
+public:
+    ResponseMemoryShare() = default;
+    explicit ResponseMemoryShare(ResponseMemory& memory)
+        : m_memory(&memory)
+    {
+    }
+    ResponseMemoryShare(ResponseMemoryShare&& other) noexcept
+        : m_memory(std::exchange(other.m_memory, nullptr))
+        , m_bytes(std::exchange(other.m_bytes, 0))
+    {
+    }
+    ResponseMemoryShare& operator=(ResponseMemoryShare&& other) noexcept
+    {
+        std::swap(m_memory, other.m_memory);
+        std::swap(m_bytes, other.m_bytes);
+        return *this;
+    }
+    ~ResponseMemoryShare()
+    {
+        if (m_memory)
+            m_memory->sharedBytes -= m_bytes;
+    }
+
+    // Sets the size of the response's buffer. False if the response must be given up. Precondition: not moved from.
+    bool resize(size_t bytes)
+    {
+        const ResponseMemoryOptions& options = m_memory->options;
+        size_t wanted = std::max(bytes, options.grantedBytes) - options.grantedBytes;
+        if (bytes > options.maxBytes || m_memory->sharedBytes - m_bytes + wanted > options.maxSharedBytes)
+            return false;
+        m_memory->sharedBytes += wanted - m_bytes;
+        m_bytes = wanted;
+        return true;
+    }
+
+private:
+    ResponseMemory* m_memory = nullptr;
+    size_t m_bytes = 0;
+};
+
+} // namespace rattanshunt::gateway
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -52,6 +52,7 @@
 
 struct ResponseHead {
     bool isForOtherRequest = false;           // late response to another request on the same connection
+    bool isIdentified = false;                // carries the id of this request
     bool isNotExecuted = false;               // the replica states that it has not executed the request
     bool isMisdirected = false;               // 421: another replica at the address, or the model is not loaded
     bool isForwardableSuccess = false;        // successful, signed by the replica and without content encoding
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -114,7 +114,7 @@
     SendFailed,    // some bytes may have been sent
     TimedOut,      // the deadline passed while sending the request or waiting for the response
     Closed,        // sent, but the connection was closed before the end of the response
-    Malformed,     // the response is not valid HTTP or exceeds the size limits of HttpClient.cpp
+    Malformed,     // the response is not valid HTTP or exceeds a size limit
     Cancelled,     // cancel() was called
 };
 
@@ -133,7 +133,8 @@
     virtual HttpCallError send(const HttpRequest&, base::TimePoint deadline) = 0;
     virtual HttpCallError readHead(HttpResponse&, base::TimePoint deadline) = 0;
 
-    // Appends the part of the response's body that has arrived. Sets `isEnd` with the last part.
+    // Appends the part of the response's body that has arrived, at most 64 KB. Sets `isEnd` with the last part. A body
+    // may have no end, so callers bound what they keep.
     virtual HttpCallError readSome(std::string& body, bool& isEnd, base::TimePoint deadline) = 0;
 
     // True if the connection is open, has no request in flight and is not known to be closed by the server. Otherwise
@@ -153,7 +154,11 @@
     HttpResponse response; // complete if `error` is None
 };
 
-// Sends one request over `connection`, connecting it first if needed, and reads the complete response. Suspends.
-HttpResult httpCall(HttpConnection&, const HttpRequest&, base::TimePoint deadline);
+constexpr size_t maxCallBodyBytes = 8 * 1024 * 1024; // default limit of httpCall()
+
+// Sends one request over `connection`, connecting it first if needed, and reads the complete response. A body of more
+// than `maxBodyBytes` closes the connection and gives Malformed. Suspends.
+HttpResult httpCall(
+    HttpConnection&, const HttpRequest&, base::TimePoint deadline, size_t maxBodyBytes = maxCallBodyBytes);
 
 } // namespace rattanshunt::net
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -17,7 +17,37 @@
 namespace {
 
     constexpr size_t maxResponseHeaderBytes = 32 * 1024;
-    constexpr uint64_t maxResponseBodyBytes = 64ull * 1024 * 1024;
+
+    // Bytes that are received but not parsed yet: a head, a chunk's size line with its extensions, or trailers. A
+    // server that sends any of these without end is cut off here.
+    constexpr size_t maxUnparsedBytes = 64 * 1024;
+
+    // Collects the body in pieces that readSome() hands on. Unlike http::string_body, it reserves no memory for the
+    // length that a response announces.
+    struct PieceBody {
+        using value_type = std::string;
+
+        class reader { // NOLINT(readability-identifier-naming): the name that Beast requires
+        public:
+            template <bool isRequest, typename Fields>
+            reader(http::header<isRequest, Fields>&, value_type& body)
+                : m_body(body)
+            {
+            }
+            void init(const boost::optional<std::uint64_t>&, beast::error_code& error) { error = {}; }
+            template <typename Buffers> size_t put(const Buffers& buffers, beast::error_code& error)
+            {
+                error = {};
+                for (asio::const_buffer piece : beast::buffers_range_ref(buffers))
+                    m_body.append(static_cast<const char*>(piece.data()), piece.size());
+                return beast::buffer_bytes(buffers);
+            }
+            void finish(beast::error_code& error) { error = {}; }
+
+        private:
+            value_type& m_body;
+        };
+    };
 
     class ClientConnection : public HttpConnection {
     public:
@@ -79,7 +109,7 @@
         {
             m_parser.emplace();
             m_parser->header_limit(maxResponseHeaderBytes);
-            m_parser->body_limit(maxResponseBodyBytes);
+            m_parser->body_limit(boost::none); // callers bound what they keep
             m_parser->eager(true);
             IoResult result = awaitUntil(deadline,
                 [&](auto handler) { http::async_read_header(m_socket, m_buffer, *m_parser, std::move(handler)); });
@@ -178,8 +208,8 @@
         Loop& m_loop;
         base::Address m_address;
         Tcp::socket m_socket;
-        beast::flat_buffer m_buffer;
-        std::optional<http::response_parser<http::string_body>> m_parser;
+        beast::flat_buffer m_buffer { maxUnparsedBytes };
+        std::optional<http::response_parser<PieceBody>> m_parser;
         bool m_isConnected = false;
         bool m_isRequestInFlight = false;
         bool m_isHeadRead = false;
@@ -195,7 +225,8 @@
     return std::make_unique<ClientConnection>(loop, address);
 }
 
-HttpResult httpCall(HttpConnection& connection, const HttpRequest& request, base::TimePoint deadline)
+HttpResult httpCall(
+    HttpConnection& connection, const HttpRequest& request, base::TimePoint deadline, size_t maxBodyBytes)
 {
     HttpResult result;
     if (!connection.isConnected())
@@ -205,8 +236,13 @@
     if (result.error == HttpCallError::None)
         result.error = connection.readHead(result.response, deadline);
     bool isEnd = false;
-    while (result.error == HttpCallError::None && !isEnd)
+    while (result.error == HttpCallError::None && !isEnd) {
         result.error = connection.readSome(result.response.body, isEnd, deadline);
+        if (result.error == HttpCallError::None && result.response.body.size() > maxBodyBytes) {
+            connection.cancel();
+            result.error = HttpCallError::Malformed;
+        }
+    }
     return result;
 }
 
