A new hub sends members only the replicas that they know differently

Cause: whenever the hub changed, it sent each member all entries and all placement. Change: a member that knew another hub sends a digest, a hash for each of 64 buckets of replicas, over entries and placement; the answer has the buckets that differ. Loads are sent as integers, and 16 members' addresses in place of all. Tests: gateway/a_new_hub_sends_members_only_what_they_do_not_have (fails without the digest: more than 25 records in a takeover of 5 members and 120 replicas), directory/digests_show_which_replicas_differ. Also here: the test of OwnLoad.h.

--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include <fmt/format.h>
+
 namespace rattanshunt::directory {
 
 namespace {
@@ -158,4 +160,27 @@
     return !replica.entry.isDraining;
 }
 
+size_t directoryBucketOf(const std::string& id)
+{
+    return base::stableHash(id) % digestBucketCount;
+}
+
+DirectoryDigest directoryDigest(const Directory& directory)
+{
+    DirectoryDigest digest(digestBucketCount, 0);
+    for (const auto& [id, replica] : directory.replicas) {
+        const gateway::ReplicaEntry& entry = replica.entry;
+        std::string text = fmt::format("{} {} {} {} {} {} {} {}", id, entry.service, entry.dataCenter,
+            base::formatAddress(entry.address), entry.slots, entry.isDraining, entry.startedAtMillis,
+            replica.isUnreachableFromHub);
+        for (const gateway::LoadedModel& loaded : replicaModels(replica))
+            text += fmt::format(" {}[{}]", loaded.name, fmt::join(loaded.adapters, ","));
+        for (const PendingModel& pending : replica.pendingModels)
+            text += fmt::format(" {}:{}", pending.model, pending.isConfirmed);
+        // A sum does not depend on the order of the replicas.
+        digest[directoryBucketOf(id)] += base::stableHash(text);
+    }
+    return digest;
+}
+
 } // namespace rattanshunt::directory
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -4,11 +4,15 @@
 //   [1] Data            PendingModel, Replica, RawEntry, RemovedReplica, Directory
 //   [2] Changes         directoryApplyList(), directoryApplyChanges(), directoryApplyReport()
 //   [3] Queries         replicaModels(), replicaHasModel(), replicaIsUsable()
+//   [4] Digests         DirectoryDigest, directoryDigest(), directoryBucketOf()
 //
 // Load pattern: the store is unavailable for seconds, and entries lapse although their replicas are alive. An entry
 // that disappears while the store is unavailable, or within `lapseGracePeriod` after it is back, stays in use until the
 // grace period is over; one that disappears at any other time is removed at once.
 //
+// A new hub takes over in a fleet of hundreds of daemons, which know nearly all of what it knows. If it sent everything
+// to each of them, its link would be full for seconds, and it would lose its lease. Digests show which replicas differ.
+//
 // Pure functions; the calling thread owns the data. Times are boot times, which advance while the machine is suspended.
 #pragma once
 
@@ -101,4 +105,16 @@
 // Whether new requests may be sent to the replica.
 bool replicaIsUsable(const Replica&);
 
+// ---- [4] Digests -------------------------------------------------------------------------------
+
+constexpr size_t digestBucketCount = 64;
+
+// A hash of each bucket of replicas, over what daemons pass on: entries and placement, not loads. Two daemons with
+// equal hashes know the same of the bucket's replicas, whoever they learned it from.
+using DirectoryDigest = std::vector<uint64_t>; // digestBucketCount hashes
+DirectoryDigest directoryDigest(const Directory&);
+
+// The bucket of a replica identifier.
+size_t directoryBucketOf(const std::string& id);
+
 } // namespace rattanshunt::directory
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -198,6 +198,8 @@
     nlohmann::json handleCall(const std::string& from, const std::string& method, const nlohmann::json& body);
     nlohmann::json handleSync(const std::string& from, const nlohmann::json& body);
     nlohmann::json buildSyncReply(const nlohmann::json& asked, base::BootTime now);
+    std::vector<bool> differingBuckets(const directory::DirectoryDigest& memberDigest);
+    nlohmann::json memberAddressSample(const std::string& seed) const;
     void applyMemberDemand(HubMember&, const nlohmann::json& body, base::BootTime now);
 
     quota::AccountLimit limitOf(const gateway::Account&) const;
@@ -232,6 +234,8 @@
     std::string m_configurationCompressed; // as sent to other daemons
     int64_t m_configurationRevision = 0;
     directory::Directory m_directory;
+    directory::DirectoryDigest m_digest; // of m_directory at m_digestSequence; hub only
+    uint64_t m_digestSequence = 0;
     base::BootTime m_freshAsOf {};
 
     bool m_storeIsReachable = false;
@@ -245,7 +249,7 @@
     std::string m_hubIncarnation;     // of the hub that issued `m_hubChangeSequence`
     uint64_t m_hubChangeSequence = 0; // of the hub's directory, at the last sync
     base::BootTime m_hubMissingSince {};
-    std::map<std::string, base::Address> m_memberAddresses; // as last sent by the hub
+    std::map<std::string, base::Address> m_memberAddresses; // of some members, as last sent by the hub
     size_t m_memberCount = 0;                               // 0: not known yet
     size_t m_storedMemberCount = 0;                         // as last read from the store
     size_t m_maxMemberCount = 0;                            // maximum within the last `quotaWindow`
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -257,6 +257,34 @@
     return buildSyncReply(body, now);
 }
 
+// The buckets of replicas of which this daemon knows something else than a member with the digest.
+std::vector<bool> HubSync::differingBuckets(const directory::DirectoryDigest& memberDigest)
+{
+    if (m_digestSequence != m_directory.changeSequence || m_digest.empty()) {
+        m_digest = directory::directoryDigest(m_directory);
+        m_digestSequence = m_directory.changeSequence;
+    }
+    std::vector<bool> differing(directory::digestBucketCount, true);
+    for (size_t i = 0; i < differing.size() && i < memberDigest.size(); ++i)
+        differing[i] = m_digest[i] != memberDigest[i];
+    return differing;
+}
+
+// Some other members, which a member can ask if it reaches neither the store nor the hub; others for each member.
+Json HubSync::memberAddressSample(const std::string& seed) const
+{
+    Json addresses = Json::object();
+    if (m_members.empty())
+        return addresses;
+    auto member = std::next(m_members.begin(), static_cast<std::ptrdiff_t>(base::stableHash(seed) % m_members.size()));
+    for (size_t i = 0; i < std::min(m_members.size(), maxAddressSample); ++i) {
+        addresses[member->first] = base::formatAddress(member->second.address);
+        if (++member == m_members.end())
+            member = m_members.begin();
+    }
+    return addresses;
+}
+
 // Builds the data that this daemon has and the requesting member lacks.
 Json HubSync::buildSyncReply(const Json& asked, BootTime now)
 {
@@ -283,11 +311,18 @@
     bool isSame = asked.value("start", "") == m_incarnation;
     uint64_t since = isSame ? asked.value("stamp", uint64_t(0)) : 0;
     reply["whole"] = !isSame;
+    // A member that knew another hub sends a digest of what it has, and gets the replicas of the buckets that differ.
+    std::vector<bool> isBucketSent(directory::digestBucketCount, true);
+    auto memberDigest = asked.find("digest");
+    if (!isSame && memberDigest != asked.end()) {
+        isBucketSent = differingBuckets(memberDigest->get<directory::DirectoryDigest>());
+        reply["buckets"] = isBucketSent;
+    }
     Json entries = Json::array();
     Json placed = Json::array();
     Json loads = Json::array();
     for (const auto& [id, replica] : m_directory.replicas) {
-        if (replica.changeSequence > since) {
+        if (replica.changeSequence > since && isBucketSent[directory::directoryBucketOf(id)]) {
             auto raw = m_directory.rawEntries.find(m_codec.entryPrefix + id);
             if (raw != m_directory.rawEntries.end())
                 entries.push_back({ raw->first, raw->second.value, raw->second.revision });
@@ -300,9 +335,10 @@
             placed.push_back({ id, replica.entry.startedAtMillis, models, pending, replica.isUnreachableFromHub });
         }
         if (replica.hasReport)
-            loads.push_back({ id, replica.entry.startedAtMillis, replica.report.running, replica.report.waiting,
-                ageMillis(now, replica.reportRequestedAt) });
+            loads.push_back({ id, replica.entry.startedAtMillis, std::lround(replica.report.running),
+                std::lround(replica.report.waiting), ageMillis(now, replica.reportRequestedAt) });
     }
+    base::counterAdd("hub_sync_replicas_sent_total", placed.size());
     reply["entries"] = std::move(entries);
     reply["placed"] = std::move(placed);
     reply["loads"] = std::move(loads);
@@ -318,10 +354,7 @@
     reply["removed"] = std::move(removed);
     reply["replicas"] = m_directory.replicas.size();
     if (m_term.isHeld && asked.value("members", size_t(0)) != memberCount()) {
-        Json addresses = Json::object();
-        for (const auto& [name, member] : m_members)
-            addresses[name] = base::formatAddress(member.address);
-        reply["addresses"] = std::move(addresses);
+        reply["addresses"] = memberAddressSample(asked.value("address", ""));
     }
     return reply;
 }
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -22,6 +22,8 @@
     Json body { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubIncarnation },
         { "stamp", m_hubChangeSequence }, { "configuration", m_configurationRevision },
         { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
+    if (!m_hubRecord || m_hubRecord->incarnation != m_hubIncarnation)
+        body["digest"] = directory::directoryDigest(m_directory);
     if (!m_demandSource)
         return body;
     Json waiting = Json::array();
@@ -104,10 +106,15 @@
         for (const Json& row : body.at("removed"))
             removed.push_back({ row.at(0).get<std::string>(), row.at(1).get<int64_t>() });
         // An entry that is missing from a complete list counts as removed only if that list is newer than the own data.
+        // The list covers the buckets that differ, or all of them.
         if (isNewer && body.at("whole").get<bool>()) {
+            std::vector<bool> isBucketSent(directory::digestBucketCount, true);
+            if (body.contains("buckets"))
+                isBucketSent = body.at("buckets").get<std::vector<bool>>();
             for (const auto& [key, raw] : m_directory.rawEntries) {
-                if (!present.contains(key))
-                    removed.push_back({ key.substr(m_codec.entryPrefix.size()), raw.revision });
+                std::string id = key.substr(m_codec.entryPrefix.size());
+                if (!present.contains(key) && isBucketSent.at(directory::directoryBucketOf(id)))
+                    removed.push_back({ id, raw.revision });
             }
         }
         logEntryFaults(directory::directoryApplyChanges(m_directory, m_codec, entries, removed));
--- a/tests/GatewayDecisionTests.cpp
+++ b/tests/GatewayDecisionTests.cpp
@@ -5,6 +5,7 @@
 #include "Support.h"
 #include "attempts/RetryPolicy.h"
 #include "directory/Directory.h"
+#include "gateway/OwnLoad.h"
 #include "gateway/ReplicaSelection.h"
 #include "gateway/RetryBudget.h"
 #include "gateway/ServerSentEvents.h"
@@ -189,6 +190,28 @@
     cr_assert(replicaSelect(candidates, { 0, 1 }, options).has_value());
 }
 
+// Sixteen callers that send one request after another to two replicas with eight slots: all requests end at the same
+// moment, and each response reports the others as running. The replicas looked full for two half-lives of the report.
+Test(own_load, requests_that_end_together_are_not_taken_for_those_of_other_daemons)
+{
+    OwnLoadOptions options;
+    OwnLoad load;
+    for (int i = 0; i < 8; ++i)
+        ownLoadChange(load, 1, bootAt(i), options);
+    for (int i = 0; i < 8; ++i) {
+        base::BootTime now = bootAt(20);
+        cr_assert_eq(ownLoadAtReport(load, now, options), 8);
+        ownLoadChange(load, -1, now, options);
+    }
+    cr_assert_eq(load.inFlight, 0);
+    // A report that was written long after they have ended does not include them.
+    cr_assert_eq(ownLoadAtReport(load, bootAt(20) + options.reportDelay + base::Millis(1), options), 0);
+    // One that was requested before they were sent does not include them either.
+    cr_assert_eq(ownLoadAtReport(load, bootAt(-10), options), 0);
+    ownLoadChange(load, 1, bootAt(5000), options);
+    cr_assert_leq(load.history.size(), 2);
+}
+
 // ---- Streams ------------------------------------------------------------------------------------
 
 Test(server_sent_events, complete_events_are_forwarded_for_any_chunking_and_repeated_ones_dropped)
@@ -260,6 +283,31 @@
     cr_assert(directory.replicas.empty());
 }
 
+// Daemons that know the same have equal digests, whatever revisions, reports and times they learned it with; a change
+// shows in the bucket of its replica only.
+Test(directory, digests_show_which_replicas_differ)
+{
+    gateway::WireCodec codec = platform::wireCodecCreate();
+    directory::Directory hub;
+    directory::Directory member;
+    for (int i = 0; i < 300; ++i) {
+        directory::RawEntry entry { fmt::format("servers/i-{}", i), entryText("ready", i), 10 + i };
+        directory::directoryApplyChanges(hub, codec, { entry }, {});
+    }
+    for (int i = 299; i >= 0; --i) {
+        directory::RawEntry entry { fmt::format("servers/i-{}", i), entryText("ready", i), 20 + i };
+        directory::directoryApplyChanges(member, codec, { entry }, {});
+    }
+    cr_assert_eq(directory::directoryDigest(hub), directory::directoryDigest(member));
+    hub.replicas["i-7"].placedModels = std::vector { LoadedModel { "m1", { "a1" } } };
+    directory::DirectoryDigest changed = directory::directoryDigest(hub);
+    directory::DirectoryDigest known = directory::directoryDigest(member);
+    for (size_t bucket = 0; bucket < changed.size(); ++bucket)
+        cr_assert_eq(changed[bucket] != known[bucket], bucket == directory::directoryBucketOf("i-7"));
+    member.replicas["i-7"].placedModels = hub.replicas["i-7"].placedModels;
+    cr_assert_eq(directory::directoryDigest(hub), directory::directoryDigest(member));
+}
+
 Test(directory, malformed_entries_are_reported_and_the_others_applied)
 {
     WireCodec codec = platform::wireCodecCreate();
--- a/tests/GatewayFleetTests.cpp
+++ b/tests/GatewayFleetTests.cpp
@@ -1,6 +1,8 @@
 // Gateways and their hub with stand-ins for the users' platform: model loads and orders, API keys, replicas that leave,
 // store outages, account limits.
+#include "ByteStandIn.h"
 #include "GatewayFixture.h"
+#include "base/Counters.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::lab;
@@ -105,6 +107,46 @@
     });
 }
 
+// A hub's link at hundreds of daemons does not carry a whole copy to each of them within its lease.
+Test(gateway, a_new_hub_sends_members_only_what_they_do_not_have, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        constexpr size_t replicaCount = 120;
+        constexpr size_t memberCount = 5;
+        GatewayFleet fleet(loop);
+        fleet.configure(labConfiguration(1));
+        for (size_t i = 0; i < replicaCount; ++i)
+            fleet.store().put(fmt::format("servers/i-{}", i), byteReplicaEntry("plain", { "127.0.0.1", 9 }));
+        std::vector<LabGateway*> gateways;
+        for (size_t i = 0; i < memberCount + 1; ++i)
+            gateways.push_back(&fleet.addGateway(fmt::format("g{}", i)));
+        cr_assert(fleet.waitReady());
+        net::sleepFor(base::Millis(1500));
+        auto former = std::find_if(gateways.begin(), gateways.end(), [](auto* each) { return each->hubSync.isHub(); });
+        cr_assert(former != gateways.end());
+        auto sentCount = [] { return base::countersRead()["hub_sync_replicas_sent_total"]; };
+        int64_t before = sentCount();
+        (*former)->hubSync.leaveElection();
+        auto isKnown = [&](LabGateway* each) {
+            return each == *former || each->hubSync.isHub()
+                || (each->hubSync.hasHub() && each->hubSync.directory().replicas.size() == replicaCount);
+        };
+        net::sleepFor(base::Millis(2500));
+        cr_expect(std::all_of(gateways.begin(), gateways.end(), isKnown));
+        // One replica changes: each member gets it once, and little else was sent.
+        fleet.store().put("servers/i-3", byteReplicaEntry("plain", { "127.0.0.1", 10 }));
+        net::sleepFor(base::Millis(1800));
+        for (LabGateway* each : gateways)
+            cr_expect_eq(each->hubSync.directory().replicas["i-3"].entry.address.port, 10);
+        cr_expect_leq(sentCount() - before, static_cast<int64_t>(memberCount) * 5);
+        fleet.store().remove("servers/i-4");
+        net::sleepFor(base::Millis(1800));
+        for (LabGateway* each : gateways)
+            cr_expect(!each->hubSync.directory().replicas.contains("i-4"));
+        fleet.stop();
+    });
+}
+
 // ---- Configuration, keys and the store -----------------------------------------------------------
 
 Test(gateway, a_revoked_key_is_refused_in_time_even_without_the_store, .timeout = 60)
