--- a/src/gateway/OwnLoad.h
+++ b/src/gateway/OwnLoad.h
@@ -22,7 +22,7 @@
 };
 
 struct OwnLoadOptions {
-    base::Millis historyLength { 1500 }; // older reports are compared with the oldest known number
+    base::Millis historyLength { 1500 }; // in a report from before it, no request counts as this daemon's
     base::Millis reportDelay { 100 };    // at most, between a replica's report and its arrival here
 };
 
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -12,6 +12,9 @@
 // the linearizable store read that confirms it was sent. Configuration is therefore never served beyond its maximum
 // age, whichever way it arrived.
 //
+// A member's first call to a new hub carries a digest of its directory, and the reply only the replicas that differ:
+// the hub's link could not carry a whole copy to each of hundreds of members within its lease.
+//
 // Keys that persist in the store:
 //   rs/hub       {name, address, start}, under the hub's lease; its creation revision is the fencing token
 //   rs/orderer   {name}, without a lease: the last daemon that issued orders; another daemon waits before its first one
