--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -268,6 +268,7 @@
 {
     if (revision <= m_configurationRevision)
         return;
+    base::TimePoint begunAt = base::Clock::now();
     m_configurationRevision = revision;
     m_configurationValue = value;
     m_configurationCompressed = base::compress(value);
@@ -278,8 +279,8 @@
         return;
     }
     base::logEvent(LogLevel::Info, "configuration.in_force",
-        { { "version", configuration->version }, { "revision", revision },
-            { "routes", configuration->routes.size() } });
+        { { "version", configuration->version }, { "revision", revision }, { "routes", configuration->routes.size() },
+            { "took_ms", base::millisOf(base::Clock::now() - begunAt) } });
     m_configuration = configuration;
     notifySubscribers();
 }
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/Counters.h"
+#include "base/Log.h"
 #include "net/Http.h"
 #include "net/Loop.h"
 #include "net/SocketPeek.h"
@@ -176,9 +177,19 @@
             m_socket.close(ignored);
         }
 
-        template <typename Initiate> IoResult awaitWithTimeout(base::Duration timeout, Initiate&& initiate)
+        void closeTimedOut(const char* operation)
         {
-            TimerId timer = m_server->loop.timers().subscribe(base::Clock::now() + timeout, [this] { closeSocket(); });
+            base::counterAddLabelled("http_timeouts_total", "operation", operation);
+            if (hasUnreadBytes())
+                base::logEvent(base::LogLevel::Warning, "connection.closed_unread", { { "operation", operation } });
+            closeSocket();
+        }
+
+        template <typename Initiate>
+        IoResult awaitWithTimeout(const char* operation, base::Duration timeout, Initiate&& initiate)
+        {
+            TimerId timer = m_server->loop.timers().subscribe(
+                base::Clock::now() + timeout, [this, operation] { closeTimedOut(operation); });
             IoResult result = awaitIo(std::forward<Initiate>(initiate));
             m_server->loop.timers().cancel(timer);
             return result;
@@ -188,7 +199,8 @@
         {
             if (m_isBroken)
                 return false;
-            IoResult result = awaitWithTimeout(m_server->limits.writeTimeout, std::forward<Initiate>(initiate));
+            IoResult result
+                = awaitWithTimeout("write", m_server->limits.writeTimeout, std::forward<Initiate>(initiate));
             if (result.error)
                 m_isBroken = true;
             return !m_isBroken;
@@ -209,7 +221,7 @@
             base::Duration timeout = m_server->isStopping ? firstBytesTimeoutAtStop : m_server->limits.idleTimeout;
             TimerId timer = m_server->loop.timers().subscribe(base::Clock::now() + timeout, [this] {
                 if (!hasUnreadBytes())
-                    closeSocket();
+                    closeTimedOut("idle");
             });
             // Waits without reading, so that hasUnreadBytes() sees the bytes until they are read below.
             IoResult result
@@ -219,7 +231,7 @@
             m_isNew = false;
             if (result.error || !m_socket.is_open())
                 return false;
-            result = awaitWithTimeout(m_server->limits.headerTimeout,
+            result = awaitWithTimeout("header", m_server->limits.headerTimeout,
                 [&](auto handler) { m_socket.async_read_some(m_buffer.prepare(readChunkBytes), std::move(handler)); });
             if (result.error)
                 return false;
@@ -234,7 +246,7 @@
             http::request_parser<http::string_body> parser;
             parser.header_limit(static_cast<uint32_t>(m_server->limits.maxHeaderBytes));
             parser.body_limit(m_server->limits.maxBodyBytes);
-            IoResult head = awaitWithTimeout(m_server->limits.headerTimeout,
+            IoResult head = awaitWithTimeout("header", m_server->limits.headerTimeout,
                 [&](auto handler) { http::async_read_header(m_socket, m_buffer, parser, std::move(handler)); });
             if (head.error)
                 return rejectReadError(head.error);
@@ -246,7 +258,7 @@
             if (!parser.is_done()) {
                 if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !sendContinue())
                     return false;
-                IoResult body = awaitWithTimeout(m_server->limits.bodyTimeout,
+                IoResult body = awaitWithTimeout("body", m_server->limits.bodyTimeout,
                     [&](auto handler) { http::async_read(m_socket, m_buffer, parser, std::move(handler)); });
                 if (body.error)
                     return rejectReadError(body.error);
@@ -280,6 +292,8 @@
             m_isStreamOpen = false;
             if (tapIsOn())
                 tapRequest();
+            if (!m_socket.is_open())
+                base::counterAdd("http_requests_on_closed_connections_total");
             m_server->events.onRequest(*this);
             if (tapIsOn())
                 tapEmit(m_tap);
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -9,11 +9,14 @@
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include "base/Histograms.h"
+
 namespace rattanshunt::net {
 
 namespace {
-    constexpr size_t fiberStackBytes = 128 * 1024; // address space; only the pages in use take memory
-    constexpr unsigned switchesPerPoll = 64;       // limits how long ready fibers can delay I/O
+    constexpr size_t fiberStackBytes = 128 * 1024;  // address space; only the pages in use take memory
+    constexpr unsigned switchesPerPoll = 64;        // limits how long ready fibers can delay I/O
+    constexpr base::Millis minRecordedDelay { 10 }; // of a wake-up
 
     thread_local Loop* t_loop = nullptr;
     thread_local boost::fibers::pooled_fixedsize_stack* t_stacks = nullptr;
@@ -101,6 +104,8 @@
     m_wakeupTimer.async_wait([this](ErrorCode error) {
         if (error || m_isStopping)
             return;
+        if (base::TimePoint now = base::Clock::now(); now - m_wakeupAt >= minRecordedDelay)
+            base::histogramObserve("loop_delay_seconds", "timer", now - m_wakeupAt);
         m_wakeupAt = base::timeNever;
         m_isAdvancing = true;
         m_timers.advance(base::Clock::now());
