--- /dev/null
+++ b/tests/TimeoutTests.cpp
@@ -0,0 +1,218 @@
+// Timeouts on a busy thread: a timer that is due together with the completion of an operation must not end it.
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "Support.h"
+#include "base/Counters.h"
+#include "net/Http.h"
+#include "net/PeerNetwork.h"
+
+using namespace rattanshunt;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr base::Millis timeout { 200 };
+constexpr base::Millis shortlyBefore { 100 }; // before the timeout
+constexpr base::Millis busyTime { 250 };      // until after the timeout
+
+void keepThreadBusy()
+{
+    std::this_thread::sleep_for(busyTime);
+}
+
+struct CountingServer {
+    net::HttpServerHandle handle;
+    std::shared_ptr<int> handledCount = std::make_shared<int>(0);
+
+    // Ends the server's fibers, for which the loop waits.
+    void stop()
+    {
+        handle.stopAccepting();
+        handle.closeAll();
+    }
+};
+
+CountingServer startServer(net::Loop& loop, const net::HttpServerLimits& limits, size_t responseBytes = 6)
+{
+    CountingServer server;
+    net::HttpServerEvents events;
+    events.onRequest = [handled = server.handledCount, responseBytes](net::HttpExchange& exchange) {
+        ++*handled;
+        exchange.respond({ 200, {}, std::string(responseBytes, 's') });
+    };
+    events.onMalformed = [](int status, std::string_view) { return net::HttpResponse { status, {}, "" }; };
+    std::string error;
+    auto handle = net::httpServe(loop, { "127.0.0.1", 0 }, limits, std::move(events), error);
+    cr_assert(handle.has_value(), "%s", error.c_str());
+    server.handle = *handle;
+    return server;
+}
+
+Tcp::endpoint endpointOf(const base::Address& address)
+{
+    return { asio::ip::make_address(address.ip), address.port };
+}
+
+// A caller whose write() does not suspend, so that nothing else runs between it and the next statement.
+struct CallerSocket {
+    Tcp::socket socket;
+
+    CallerSocket(net::Loop& loop, const base::Address& address)
+        : socket(loop.io())
+    {
+        socket.connect(endpointOf(address));
+    }
+    void write(const std::string& bytes) { asio::write(socket, asio::buffer(bytes)); }
+    // The bytes that arrive until `count` were received or the connection ends.
+    size_t read(size_t count)
+    {
+        std::string bytes(count, '\0');
+        return net::awaitIo([&](auto handler) {
+            asio::async_read(socket, asio::buffer(bytes), std::move(handler));
+        }).bytes;
+    }
+};
+
+// Accepts one connection on a thread of its own, waits for `delay` after the first bytes and sends `response`.
+struct RawServer {
+    asio::io_context io;
+    Tcp::acceptor acceptor { io, { asio::ip::address_v4::loopback(), 0 } };
+    std::thread thread;
+
+    RawServer(base::Millis delay, const std::string& response)
+        : thread([this, delay, response] {
+            Tcp::socket socket(io);
+            acceptor.accept(socket);
+            std::array<char, 4096> bytes {};
+            boost::system::error_code ignored;
+            socket.read_some(asio::buffer(bytes), ignored);
+            std::this_thread::sleep_for(delay);
+            asio::write(socket, asio::buffer(response), ignored);
+            socket.read_some(asio::buffer(bytes), ignored); // until the client closes
+        })
+    {
+    }
+    ~RawServer() { thread.join(); }
+    base::Address address() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
+};
+
+} // namespace
+
+Test(timeouts, a_request_is_not_handled_after_its_connection_was_closed, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        net::HttpServerLimits limits;
+        limits.headerTimeout = timeout;
+        CountingServer server = startServer(loop, limits);
+        for (int round = 0; round < 5; ++round) {
+            CallerSocket caller(loop, server.handle.address);
+            caller.write("GET /x HTTP/1.1\r\n");
+            net::sleepFor(shortlyBefore);
+            caller.write("Host: a\r\n\r\n");
+            keepThreadBusy();
+            cr_expect_gt(caller.read(40), 0, "round %d: no answer, %d handled", round, *server.handledCount);
+        }
+        cr_expect_eq(*server.handledCount, 5);
+        server.stop();
+    });
+}
+
+Test(timeouts, a_body_that_has_arrived_is_not_lost_to_the_body_timeout, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        net::HttpServerLimits limits;
+        limits.bodyTimeout = timeout;
+        CountingServer server = startServer(loop, limits);
+        for (int round = 0; round < 5; ++round) {
+            CallerSocket caller(loop, server.handle.address);
+            caller.write("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n");
+            net::sleepFor(shortlyBefore);
+            caller.write(std::string(200000, 'b'));
+            keepThreadBusy();
+            cr_expect_gt(caller.read(40), 0, "round %d: no answer, %d handled", round, *server.handledCount);
+        }
+        server.stop();
+    });
+}
+
+Test(timeouts, a_response_that_a_caller_reads_is_not_cut_by_the_write_timeout, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        constexpr size_t responseBytes = 30'000'000; // more than the sockets hold
+        net::HttpServerLimits limits;
+        limits.writeTimeout = timeout;
+        CountingServer server = startServer(loop, limits, responseBytes);
+        size_t received = 0;
+        std::thread caller([&, address = server.handle.address] {
+            asio::io_context io;
+            Tcp::socket socket(io);
+            socket.connect(endpointOf(address));
+            asio::write(socket, asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
+            std::this_thread::sleep_for(shortlyBefore + base::Millis(50));
+            std::vector<char> bytes(1 << 20);
+            boost::system::error_code error;
+            while (!error && received < responseBytes)
+                received += socket.read_some(asio::buffer(bytes), error);
+        });
+        net::sleepFor(shortlyBefore);
+        keepThreadBusy();
+        while (server.handle.connectionCount())
+            net::sleepFor(base::Millis(10));
+        caller.join();
+        cr_expect_geq(received, responseBytes);
+        server.stop();
+    });
+}
+
+Test(timeouts, an_answer_that_has_arrived_is_not_lost_to_the_deadline, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        for (int round = 0; round < 5; ++round) {
+            RawServer server(
+                shortlyBefore, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'b'));
+            auto connection = net::HttpConnection::create(loop, server.address());
+            loop.spawn([] {
+                net::sleepFor(shortlyBefore / 2);
+                keepThreadBusy();
+            });
+            net::HttpResult result = net::httpCall(*connection, { "GET", "/x", {}, "" }, base::Clock::now() + timeout);
+            cr_expect(result.error == net::HttpCallError::None, "round %d: %s", round, httpCallErrorName(result.error));
+            connection->cancel();
+        }
+    });
+}
+
+Test(timeouts, a_connection_that_is_established_is_not_lost_to_the_deadline, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        for (int round = 0; round < 5; ++round) {
+            RawServer server(base::Millis(0), "");
+            auto connection = net::HttpConnection::create(loop, server.address());
+            loop.spawn([] { keepThreadBusy(); });
+            net::HttpCallError error = connection->connect(base::Clock::now() + timeout);
+            cr_expect(error == net::HttpCallError::None, "round %d: %s", round, httpCallErrorName(error));
+            connection->cancel();
+        }
+    });
+}
+
+Test(timeouts, an_operation_without_progress_ends_at_its_timeout, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        net::HttpServerLimits limits;
+        limits.headerTimeout = timeout;
+        CountingServer server = startServer(loop, limits);
+        CallerSocket caller(loop, server.handle.address);
+        caller.write("GET /x HTTP/1.1\r\n");
+        base::TimePoint begunAt = base::Clock::now();
+        cr_expect_eq(caller.read(1), 0);
+        base::Duration took = base::Clock::now() - begunAt;
+        cr_expect_geq(base::millisOf(took), 190);
+        cr_expect_leq(base::millisOf(took), 400);
+        cr_expect_eq(*server.handledCount, 0);
+        server.stop();
+    });
+}
