Bound what a timer waits for, and reading past a deadline

Callers of replicas that send without end got their 502 or 504 up to 0.7 s late (2,184 ms where 2,000 are allowed; 1 to 4 calls of 50): with data always there each read completed before its timer, which begins anew with each read, so the deadline never met an open operation. Now an exchange reads for 50 ms at most past its deadline. A loop whose handlers feed each other kept timers waiting for a whole poll(): the bound of 50 ms holds within one too. An operation that a timer ended counts as ended even if it completed as well, and a request whose connection is closed is not handled.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -22,6 +22,10 @@
     // server that sends any of these without end is cut off here.
     constexpr size_t maxUnparsedBytes = 64 * 1024;
 
+    // After the deadline, for reading the rest of an answer that has arrived while the thread was busy. An answer whose
+    // bytes arrive faster than they are read would never meet its timer.
+    constexpr base::Millis maxLateTime { 50 };
+
     // Collects the body in pieces that readSome() hands on. Unlike http::string_body, it reserves no memory for the
     // length that a response announces.
     struct PieceBody {
@@ -172,11 +176,20 @@
         template <typename Initiate> IoResult awaitUntil(base::TimePoint deadline, Initiate&& initiate)
         {
             m_hasTimedOut = false;
+            base::TimePoint now = base::Clock::now();
+            if (now < deadline)
+                m_lateSince = base::timeNever;
+            else if (m_lateSince == base::timeNever)
+                m_lateSince = now;
+            else if (now - m_lateSince > maxLateTime) {
+                m_hasTimedOut = true;
+                return { asio::error::operation_aborted, 0 };
+            }
             IoResult result = awaitIoUntil(m_loop, deadline, std::forward<Initiate>(initiate), [this] {
                 m_hasTimedOut = true;
                 close();
             });
-            if (!result.error && m_isCancelled)
+            if (!result.error && (m_hasTimedOut || m_isCancelled))
                 result.error = asio::error::operation_aborted;
             return result;
         }
@@ -208,6 +221,7 @@
         Tcp::socket m_socket;
         beast::flat_buffer m_buffer { maxUnparsedBytes };
         std::optional<http::response_parser<PieceBody>> m_parser;
+        base::TimePoint m_lateSince = base::timeNever; // first operation that began after its deadline
         bool m_isConnected = false;
         bool m_isRequestInFlight = false;
         bool m_isHeadRead = false;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -188,8 +188,11 @@
         template <typename Initiate>
         IoResult awaitWithTimeout(const char* operation, base::Duration timeout, Initiate&& initiate)
         {
-            return awaitIoUntil(m_server->loop, base::Clock::now() + timeout, std::forward<Initiate>(initiate),
-                [this, operation] { closeTimedOut(operation); });
+            IoResult result = awaitIoUntil(m_server->loop, base::Clock::now() + timeout,
+                std::forward<Initiate>(initiate), [this, operation] { closeTimedOut(operation); });
+            if (!m_socket.is_open() && !result.error)
+                result.error = asio::error::operation_aborted;
+            return result;
         }
 
         template <typename Initiate> bool writeMessage(Initiate&& initiate)
@@ -289,8 +292,10 @@
             m_isStreamOpen = false;
             if (tapIsOn())
                 tapRequest();
-            if (!m_socket.is_open())
+            if (!m_socket.is_open()) {
                 base::counterAdd("http_requests_on_closed_connections_total");
+                return false;
+            }
             m_server->events.onRequest(*this);
             if (tapIsOn())
                 tapEmit(m_tap);
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -49,11 +49,8 @@
             return next;
         }
         // suspend_until() is not called while fibers are ready, so poll here too. Otherwise busy fibers starve sockets.
-        if (m_readyCount && ++m_switches % switchesPerPoll == 0) {
-            m_loop.m_io.poll();
-            if (m_loop.m_areTimersDue && m_loop.isCatchUpOver())
-                m_loop.advanceTimers();
-        }
+        if (m_readyCount && (m_loop.m_areTimersDue || ++m_switches % switchesPerPoll == 0))
+            runReady();
         return next;
     }
 
@@ -61,17 +58,13 @@
 
     void suspend_until(std::chrono::steady_clock::time_point const& until) noexcept override
     {
-        if (m_loop.m_areTimersDue) {
-            // No fiber is ready. If no I/O is ready either, the loop has caught up.
-            if (m_loop.m_io.poll() == 0 || m_loop.isCatchUpOver())
-                m_loop.advanceTimers();
-            return;
+        if (!m_loop.m_areTimersDue) {
+            if (until == std::chrono::steady_clock::time_point::max())
+                m_loop.m_io.run_one();
+            else
+                m_loop.m_io.run_one_until(until);
         }
-        if (until == std::chrono::steady_clock::time_point::max())
-            m_loop.m_io.run_one();
-        else
-            m_loop.m_io.run_one_until(until);
-        m_loop.m_io.poll();
+        runReady();
     }
 
     void notify() noexcept override
@@ -80,6 +73,19 @@
     }
 
 private:
+    // Runs the I/O handlers that are ready. If timers are due, runs them once no I/O and no fiber is ready.
+    void runReady()
+    {
+        size_t count = 0;
+        bool isLate = false;
+        while (!isLate && m_loop.m_io.poll_one()) {
+            ++count;
+            isLate = m_loop.m_areTimersDue && m_loop.isCatchUpOver();
+        }
+        if (m_loop.m_areTimersDue && (isLate || (!count && !m_readyCount) || m_loop.isCatchUpOver()))
+            m_loop.advanceTimers();
+    }
+
     Loop& m_loop;
     boost::fibers::scheduler::ready_queue_type m_ready {};
     size_t m_readyCount = 0;
@@ -112,7 +118,7 @@
     m_wakeupAt = due;
     m_wakeupTimer.expires_at(due);
     m_wakeupTimer.async_wait([this](ErrorCode error) {
-        if (error || m_isStopping)
+        if (error || m_isStopping || m_areTimersDue)
             return;
         base::TimePoint now = base::Clock::now();
         if (now - m_wakeupAt >= minRecordedDelay)
