Serve the next request on a connection that was promised to stay open

What callers saw: a connection was reset under their next request when a daemon began to drain during a stream. The head of a response said keep-alive, and whether to close was decided again after the response, so a request that had arrived meanwhile, in the buffer or in the socket, was dropped with the connection. Now what the head said holds; the connection closes with the next response.

timeouts/a_request_on_a_connection_that_was_promised_to_stay_open_is_served failed before (1 of 2 requests handled), passes now.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -86,7 +86,8 @@
             for (HttpHeader& header : response.headers)
                 message.insert(header.name, header.value);
             message.body() = std::move(response.body);
-            message.keep_alive(mayKeepAlive());
+            m_isKeptAlive = mayKeepAlive();
+            message.keep_alive(m_isKeptAlive);
             message.prepare_payload();
             m_hasResponded = true;
             return writeMessage([&](auto handler) { http::async_write(m_socket, message, std::move(handler)); });
@@ -101,7 +102,8 @@
             m_streamHead->result(static_cast<unsigned>(status));
             for (const HttpHeader& header : headers)
                 m_streamHead->insert(header.name, header.value);
-            m_streamHead->keep_alive(mayKeepAlive());
+            m_isKeptAlive = mayKeepAlive();
+            m_streamHead->keep_alive(m_isKeptAlive);
             m_streamHead->chunked(true);
             m_hasResponded = true;
             m_isStreamOpen = true;
@@ -303,7 +305,7 @@
             if (!m_hasResponded && !m_isBroken)
                 respond({ 500, {}, "" });
             // A stream without its last chunk is closed, so that the client sees a truncated response.
-            return !m_isBroken && !m_isStreamOpen && mayKeepAlive();
+            return !m_isBroken && !m_isStreamOpen && m_isKeptAlive;
         }
 
         // Why the headers could be read as two different requests (request smuggling); null if they are unambiguous.
@@ -382,6 +384,7 @@
         std::optional<http::response<http::empty_body>> m_streamHead;
         std::function<void()> m_onDisconnect;
         TapRecord m_tap;
+        bool m_isKeptAlive = false; // as the head of the last response said
         bool m_isKeepAliveRequest = false;
         bool m_hasResponded = false;
         bool m_isStreamOpen = false;
--- a/tests/TimeoutTests.cpp
+++ b/tests/TimeoutTests.cpp
@@ -273,3 +273,39 @@
         isOver = true;
     });
 }
+
+// A stream whose head promised to keep the connection ends while the server drains; the next request has arrived.
+Test(timeouts, a_request_on_a_connection_that_was_promised_to_stay_open_is_served, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        bool isDraining = false;
+        int handledCount = 0;
+        net::Event mayFinish;
+        net::HttpServerEvents events;
+        events.isDraining = [&] { return isDraining; };
+        events.onMalformed = [](int status, std::string_view) { return net::HttpResponse { status, {}, "" }; };
+        events.onRequest = [&](net::HttpExchange& exchange) {
+            if (++handledCount > 1) {
+                exchange.respond({ 200, {}, "served" });
+                return;
+            }
+            exchange.startStream(200, {});
+            mayFinish.waitUntil();
+            exchange.finishStream();
+        };
+        std::string error;
+        auto server = net::httpServe(loop, { "127.0.0.1", 0 }, {}, std::move(events), error);
+        cr_assert(server.has_value());
+        CallerSocket caller(loop, server->address);
+        caller.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        net::sleepFor(base::Millis(100));
+        isDraining = true;
+        caller.write("GET /y HTTP/1.1\r\nHost: a\r\n\r\n");
+        mayFinish.set();
+        std::string text = caller.readResponse();
+        cr_expect(text.ends_with("served"), "%s", text.c_str());
+        cr_expect_eq(handledCount, 2);
+        server->stopAccepting();
+        server->closeAll();
+    });
+}
