Let an idle connection follow a raised idle timeout

What callers would see: after a configuration that raises the idle timeout, connections that were idle already are closed at the old limit, under callers that use them within the new one. Cause: the timer is started with the limit of that moment. When it ends it now compares with the limit in force.

timeouts/a_longer_idle_timeout_holds_for_connections_that_are_idle_already failed on the commit before (no answer to the second request) and passes now.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -220,15 +220,28 @@
             if (m_server->isStopping && !m_isNew && !hasUnreadBytes())
                 return false;
             m_isIdle = true;
-            base::Duration timeout = m_server->isStopping ? firstBytesTimeoutAtStop : m_server->limits.idleTimeout;
-            // Waits without reading, so that hasUnreadBytes() sees the bytes until they are read below.
-            IoResult result = awaitIoUntil(
-                m_server->loop, base::Clock::now() + timeout,
-                [&](auto handler) { m_socket.async_wait(Tcp::socket::wait_read, std::move(handler)); },
-                [this] {
-                    if (!hasUnreadBytes())
-                        closeTimedOut("idle");
-                });
+            base::TimePoint idleSince = base::Clock::now();
+            IoResult result;
+            bool isLimitRaised = false; // since the wait began; callers rely on the present limit
+            do {
+                isLimitRaised = false;
+                base::Duration timeout = m_server->isStopping ? firstBytesTimeoutAtStop : m_server->limits.idleTimeout;
+                // Waits without reading, so that hasUnreadBytes() sees the bytes until they are read below.
+                result = awaitIoUntil(
+                    m_server->loop, idleSince + timeout,
+                    [&](auto handler) { m_socket.async_wait(Tcp::socket::wait_read, std::move(handler)); },
+                    [&] {
+                        if (hasUnreadBytes())
+                            return;
+                        isLimitRaised
+                            = !m_server->isStopping && base::Clock::now() < idleSince + m_server->limits.idleTimeout;
+                        ErrorCode ignored;
+                        if (isLimitRaised)
+                            m_socket.cancel(ignored);
+                        else
+                            closeTimedOut("idle");
+                    });
+            } while (isLimitRaised);
             m_isIdle = false;
             m_isNew = false;
             if (result.error || !m_socket.is_open())
--- a/tests/TimeoutTests.cpp
+++ b/tests/TimeoutTests.cpp
@@ -255,6 +255,25 @@
     });
 }
 
+Test(timeouts, a_longer_idle_timeout_holds_for_connections_that_are_idle_already, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        net::HttpServerLimits limits;
+        limits.idleTimeout = timeout;
+        CountingServer server = startServer(loop, limits);
+        CallerSocket caller(loop, server.handle.address);
+        caller.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        cr_assert(caller.readsServed());
+        limits.idleTimeout = timeout * 5;
+        server.handle.setLimits(limits);
+        net::sleepFor(timeout * 2);
+        caller.write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+        cr_expect(caller.readsServed());
+        cr_expect_eq(*server.handledCount, 2);
+        server.stop();
+    });
+}
+
 Test(timeouts, timers_run_on_a_loop_that_is_never_idle, .timeout = 30)
 {
     tests::runOnLoop([](net::Loop& loop) {
