--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include "base/Counters.h"
+#include "base/Log.h"
 #include "net/Http.h"
 #include "net/Loop.h"
 #include "net/SocketPeek.h"
@@ -85,7 +86,8 @@
             for (HttpHeader& header : response.headers)
                 message.insert(header.name, header.value);
             message.body() = std::move(response.body);
-            message.keep_alive(mayKeepAlive());
+            m_isKeptAlive = mayKeepAlive();
+            message.keep_alive(m_isKeptAlive);
             message.prepare_payload();
             m_hasResponded = true;
             return writeMessage([&](auto handler) { http::async_write(m_socket, message, std::move(handler)); });
@@ -100,7 +102,8 @@
             m_streamHead->result(static_cast<unsigned>(status));
             for (const HttpHeader& header : headers)
                 m_streamHead->insert(header.name, header.value);
-            m_streamHead->keep_alive(mayKeepAlive());
+            m_isKeptAlive = mayKeepAlive();
+            m_streamHead->keep_alive(m_isKeptAlive);
             m_streamHead->chunked(true);
             m_hasResponded = true;
             m_isStreamOpen = true;
@@ -176,11 +179,21 @@
             m_socket.close(ignored);
         }
 
-        template <typename Initiate> IoResult awaitWithTimeout(base::Duration timeout, Initiate&& initiate)
+        void closeTimedOut(const char* operation)
         {
-            TimerId timer = m_server->loop.timers().subscribe(base::Clock::now() + timeout, [this] { closeSocket(); });
-            IoResult result = awaitIo(std::forward<Initiate>(initiate));
-            m_server->loop.timers().cancel(timer);
+            base::counterAddLabelled("http_timeouts_total", "operation", operation);
+            if (hasUnreadBytes())
+                base::logEvent(base::LogLevel::Warning, "connection.closed_unread", { { "operation", operation } });
+            closeSocket();
+        }
+
+        template <typename Initiate>
+        IoResult awaitWithTimeout(const char* operation, base::Duration timeout, Initiate&& initiate)
+        {
+            IoResult result = awaitIoUntil(m_server->loop, base::Clock::now() + timeout,
+                std::forward<Initiate>(initiate), [this, operation] { closeTimedOut(operation); });
+            if (!m_socket.is_open() && !result.error)
+                result.error = asio::error::operation_aborted;
             return result;
         }
 
@@ -188,7 +201,8 @@
         {
             if (m_isBroken)
                 return false;
-            IoResult result = awaitWithTimeout(m_server->limits.writeTimeout, std::forward<Initiate>(initiate));
+            IoResult result
+                = awaitWithTimeout("write", m_server->limits.writeTimeout, std::forward<Initiate>(initiate));
             if (result.error)
                 m_isBroken = true;
             return !m_isBroken;
@@ -206,20 +220,33 @@
             if (m_server->isStopping && !m_isNew && !hasUnreadBytes())
                 return false;
             m_isIdle = true;
-            base::Duration timeout = m_server->isStopping ? firstBytesTimeoutAtStop : m_server->limits.idleTimeout;
-            TimerId timer = m_server->loop.timers().subscribe(base::Clock::now() + timeout, [this] {
-                if (!hasUnreadBytes())
-                    closeSocket();
-            });
-            // Waits without reading, so that hasUnreadBytes() sees the bytes until they are read below.
-            IoResult result
-                = awaitIo([&](auto handler) { m_socket.async_wait(Tcp::socket::wait_read, std::move(handler)); });
-            m_server->loop.timers().cancel(timer);
+            base::TimePoint idleSince = base::Clock::now();
+            IoResult result;
+            bool isLimitRaised = false; // since the wait began; callers rely on the present limit
+            do {
+                isLimitRaised = false;
+                base::Duration timeout = m_server->isStopping ? firstBytesTimeoutAtStop : m_server->limits.idleTimeout;
+                // Waits without reading, so that hasUnreadBytes() sees the bytes until they are read below.
+                result = awaitIoUntil(
+                    m_server->loop, idleSince + timeout,
+                    [&](auto handler) { m_socket.async_wait(Tcp::socket::wait_read, std::move(handler)); },
+                    [&] {
+                        if (hasUnreadBytes())
+                            return;
+                        isLimitRaised
+                            = !m_server->isStopping && base::Clock::now() < idleSince + m_server->limits.idleTimeout;
+                        ErrorCode ignored;
+                        if (isLimitRaised)
+                            m_socket.cancel(ignored);
+                        else
+                            closeTimedOut("idle");
+                    });
+            } while (isLimitRaised);
             m_isIdle = false;
             m_isNew = false;
             if (result.error || !m_socket.is_open())
                 return false;
-            result = awaitWithTimeout(m_server->limits.headerTimeout,
+            result = awaitWithTimeout("header", m_server->limits.headerTimeout,
                 [&](auto handler) { m_socket.async_read_some(m_buffer.prepare(readChunkBytes), std::move(handler)); });
             if (result.error)
                 return false;
@@ -234,7 +261,7 @@
             http::request_parser<http::string_body> parser;
             parser.header_limit(static_cast<uint32_t>(m_server->limits.maxHeaderBytes));
             parser.body_limit(m_server->limits.maxBodyBytes);
-            IoResult head = awaitWithTimeout(m_server->limits.headerTimeout,
+            IoResult head = awaitWithTimeout("header", m_server->limits.headerTimeout,
                 [&](auto handler) { http::async_read_header(m_socket, m_buffer, parser, std::move(handler)); });
             if (head.error)
                 return rejectReadError(head.error);
@@ -246,7 +273,7 @@
             if (!parser.is_done()) {
                 if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !sendContinue())
                     return false;
-                IoResult body = awaitWithTimeout(m_server->limits.bodyTimeout,
+                IoResult body = awaitWithTimeout("body", m_server->limits.bodyTimeout,
                     [&](auto handler) { http::async_read(m_socket, m_buffer, parser, std::move(handler)); });
                 if (body.error)
                     return rejectReadError(body.error);
@@ -280,6 +307,10 @@
             m_isStreamOpen = false;
             if (tapIsOn())
                 tapRequest();
+            if (!m_socket.is_open()) {
+                base::counterAdd("http_requests_on_closed_connections_total");
+                return false;
+            }
             m_server->events.onRequest(*this);
             if (tapIsOn())
                 tapEmit(m_tap);
@@ -287,7 +318,7 @@
             if (!m_hasResponded && !m_isBroken)
                 respond({ 500, {}, "" });
             // A stream without its last chunk is closed, so that the client sees a truncated response.
-            return !m_isBroken && !m_isStreamOpen && mayKeepAlive();
+            return !m_isBroken && !m_isStreamOpen && m_isKeptAlive;
         }
 
         // Why the headers could be read as two different requests (request smuggling); null if they are unambiguous.
@@ -366,6 +397,7 @@
         std::optional<http::response<http::empty_body>> m_streamHead;
         std::function<void()> m_onDisconnect;
         TapRecord m_tap;
+        bool m_isKeptAlive = false; // as the head of the last response said
         bool m_isKeepAliveRequest = false;
         bool m_hasResponded = false;
         bool m_isStreamOpen = false;
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -9,11 +9,15 @@
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include "base/Histograms.h"
+
 namespace rattanshunt::net {
 
 namespace {
-    constexpr size_t fiberStackBytes = 128 * 1024; // address space; only the pages in use take memory
-    constexpr unsigned switchesPerPoll = 64;       // limits how long ready fibers can delay I/O
+    constexpr size_t fiberStackBytes = 128 * 1024;  // address space; only the pages in use take memory
+    constexpr unsigned switchesPerPoll = 64;        // limits how long ready fibers can delay I/O
+    constexpr base::Millis minRecordedDelay { 10 }; // of a wake-up
+    constexpr base::Millis maxCatchUp { 50 };       // after which timers run although I/O is still ready
 
     thread_local Loop* t_loop = nullptr;
     thread_local boost::fibers::pooled_fixedsize_stack* t_stacks = nullptr;
@@ -45,8 +49,8 @@
             return next;
         }
         // suspend_until() is not called while fibers are ready, so poll here too. Otherwise busy fibers starve sockets.
-        if (m_readyCount && ++m_switches % switchesPerPoll == 0)
-            m_loop.m_io.poll();
+        if (m_readyCount && (m_loop.m_areTimersDue || ++m_switches % switchesPerPoll == 0))
+            runReady();
         return next;
     }
 
@@ -54,11 +58,13 @@
 
     void suspend_until(std::chrono::steady_clock::time_point const& until) noexcept override
     {
-        if (until == std::chrono::steady_clock::time_point::max())
-            m_loop.m_io.run_one();
-        else
-            m_loop.m_io.run_one_until(until);
-        m_loop.m_io.poll();
+        if (!m_loop.m_areTimersDue) {
+            if (until == std::chrono::steady_clock::time_point::max())
+                m_loop.m_io.run_one();
+            else
+                m_loop.m_io.run_one_until(until);
+        }
+        runReady();
     }
 
     void notify() noexcept override
@@ -67,6 +73,19 @@
     }
 
 private:
+    // Runs the I/O handlers that are ready. If timers are due, runs them once no I/O and no fiber is ready.
+    void runReady()
+    {
+        size_t count = 0;
+        bool isLate = false;
+        while (!isLate && m_loop.m_io.poll_one()) {
+            ++count;
+            isLate = m_loop.m_areTimersDue && m_loop.isCatchUpOver();
+        }
+        if (m_loop.m_areTimersDue && (isLate || (!count && !m_readyCount) || m_loop.isCatchUpOver()))
+            m_loop.advanceTimers();
+    }
+
     Loop& m_loop;
     boost::fibers::scheduler::ready_queue_type m_ready {};
     size_t m_readyCount = 0;
@@ -99,16 +118,32 @@
     m_wakeupAt = due;
     m_wakeupTimer.expires_at(due);
     m_wakeupTimer.async_wait([this](ErrorCode error) {
-        if (error || m_isStopping)
+        if (error || m_isStopping || m_areTimersDue)
             return;
-        m_wakeupAt = base::timeNever;
-        m_isAdvancing = true;
-        m_timers.advance(base::Clock::now());
-        m_isAdvancing = false;
-        armWakeup();
+        base::TimePoint now = base::Clock::now();
+        if (now - m_wakeupAt >= minRecordedDelay)
+            base::histogramObserve("loop_delay_seconds", "timer", now - m_wakeupAt);
+        m_wakeupAt = base::TimePoint::min(); // until advanceTimers()
+        m_areTimersDue = true;
+        m_timersDueSince = now;
     });
 }
 
+bool Loop::isCatchUpOver() const
+{
+    return base::Clock::now() - m_timersDueSince > maxCatchUp;
+}
+
+void Loop::advanceTimers()
+{
+    m_areTimersDue = false;
+    m_wakeupAt = base::timeNever;
+    m_isAdvancing = true;
+    m_timers.advance(base::Clock::now());
+    m_isAdvancing = false;
+    armWakeup();
+}
+
 void Loop::run(std::function<void()> mainFiber)
 {
     t_loop = this;
