Cover restarts, late joiners and false accusations around crashing parts

Five tests check the bounds of the rule: one part, two parts at once, the hub killed at the third crash, all gateways killed at the contact time after the fifth crash, and a gateway that starts after it. Half of the simulated replicas start again under the same identifier.

The simulated replica's orders, starts and crashes move to a file of their own.

--- a/lab/GatewayFleet.cpp
+++ b/lab/GatewayFleet.cpp
@@ -103,6 +103,7 @@
     m_killedGateways.push_back(std::move(*killed));
     m_gateways.erase(killed);
     gateway.placer.stop();
+    gateway.gateway.beginDrain(); // ends its fibers; its callers are cut off below
     gateway.gateway.stopAccepting();
     gateway.gateway.closeAll();
     if (gateway.hubSync.isHub())
--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -52,7 +52,7 @@
     int truncateAfterEvents = 2;   // for ReplicaFault::Truncate of a stream
     base::Millis orderDelay { 0 }; // above 0: orders get no response and are executed after this delay
     // A stream whose prompt holds one of these parts, except as its last part, crashes the replica before any event.
-    std::set<std::string> crashingParts;
+    std::set<std::string> crashingParts {};
 };
 
 struct RequestExecution {
@@ -72,13 +72,19 @@
     base::TimePoint at {};
 };
 
+// Something that happened because of a prompt part.
+struct PartEvent {
+    base::TimePoint at {};
+    std::string part; // empty: there was no such cause
+};
+
 struct ReplicaHistory {
     std::vector<RequestExecution> executions;
     std::vector<AcceptedOrder> acceptedOrders;
     int refusedOrderCount = 0;
     bool wasOvercommitted = false; // was ordered to load more than fits
-    std::vector<base::TimePoint> crashes;
-    std::vector<base::TimePoint> crashingArrivals; // of requests with a crashing part, executed or not
+    std::vector<PartEvent> crashes;
+    std::vector<PartEvent> crashingArrivals; // of requests with a crashing part, executed or not
     std::map<std::string, int> executionsByRequest() const;
 };
 
@@ -103,7 +109,7 @@
 
     // Ends the replica: closes its connections and refuses new ones. It starts again at the same address after
     // `restartDelay`, with nothing loaded, and calls `onStarted` in a fiber of its own.
-    void crash();
+    void crash(const std::string& part = {});
     void setOnStarted(std::function<void()> onStarted);
     const std::string& id() const;
 
--- /dev/null
+++ b/lab/ReplicaStandInImpl.h
@@ -0,0 +1,232 @@
+// Internal to ReplicaStandIn: the state of a replica and the requests that it serves. Orders, starts and crashes are
+// in ReplicaStandInOrders.cpp.
+#pragma once
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "ReplicaStandIn.h"
+
+namespace rattanshunt::lab {
+
+constexpr base::Millis replicaPollInterval { 10 };
+constexpr const char* replicaSeal = "seal-of-the-stand-in";
+
+struct ReplicaStandIn::Impl : std::enable_shared_from_this<ReplicaStandIn::Impl> {
+    net::Loop& loop;
+    ReplicaStandInOptions options;
+    ReplicaStandInFaults faults;
+    ReplicaHistory history;
+    std::optional<net::HttpServerHandle> server;
+    std::set<std::string> loadedModels;
+    std::set<std::string> loadedAdapters; // as MODEL/ADAPTER
+    std::string loadingModel;
+    int64_t ordersAccepted = 0;
+    int64_t highestFencingToken = 0;
+    int runningRequests = 0;
+    std::map<std::string, int> runningByModel; // by MODEL or MODEL/ADAPTER
+    int64_t startedAtMillis = 1700000000000;
+    std::vector<std::pair<base::TimePoint, base::TimePoint>> drainPeriods;
+    bool isStopped = false;
+    bool isCrashed = false;
+    std::string firstId;
+    std::function<void()> onStarted;
+
+    Impl(net::Loop& eventLoop, ReplicaStandInOptions replicaOptions)
+        : loop(eventLoop)
+        , options(std::move(replicaOptions))
+        , loadedModels(options.loadedModels)
+        , firstId(options.id)
+    {
+    }
+
+    nlohmann::json modelsJson() const
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const std::string& model : loadedModels) {
+            nlohmann::json adapters = nlohmann::json::array();
+            for (const std::string& adapter : loadedAdapters) {
+                if (adapter.starts_with(model + "/"))
+                    adapters.push_back(adapter.substr(model.size() + 1));
+            }
+            list.push_back({ { "name", model }, { "version", 1 }, { "adapters", adapters } });
+        }
+        return list;
+    }
+
+    void handleRequest(net::HttpExchange& exchange)
+    {
+        const net::HttpRequest& request = exchange.request();
+        if (request.target == "/rattanshunt/report") {
+            nlohmann::json disk = nlohmann::json::array();
+            for (auto& [model, size] : options.modelSizesMb)
+                disk.push_back(model);
+            exchange.respond({ 200, {},
+                nlohmann::json { { "stage", "combined" }, { "models", modelsJson() }, { "busy", !loadingModel.empty() },
+                    { "sequence", ordersAccepted }, { "waiting", 0 }, { "running", runningRequests }, { "kvUsed", 0 },
+                    { "kvTotal", 1000 }, { "born", startedAtMillis },
+                    { "atHand", { { "inMemory", nlohmann::json::array() }, { "onDisk", disk } } } }
+                    .dump() });
+            return;
+        }
+        if (request.target == "/rattanshunt/order") {
+            handleOrder(exchange);
+            return;
+        }
+        executeRequest(exchange);
+    }
+
+    // -- orders --
+    void handleOrder(net::HttpExchange&);
+    int executeOrder(const nlohmann::json& order);
+
+    // -- starting and crashing --
+    bool listen(const base::Address&, std::string& error);
+    void forgetState();
+    void crash(const std::string& part);
+
+    // ---- Requests ----------------------------------------------------------------------------
+
+    // The first crashing part of a prompt, its last part excepted; empty if there is none.
+    std::string findCrashingPart(std::string_view promptPrefix) const
+    {
+        std::vector<std::string> parts = base::splitText(promptPrefix, ',');
+        for (size_t i = 0; i + 1 < parts.size(); ++i) {
+            std::string part = parts[i].substr(0, parts[i].find(':'));
+            if (faults.crashingParts.contains(part))
+                return part;
+        }
+        return {};
+    }
+
+    ReplicaFault nextFault()
+    {
+        if (faults.remainingRequests == 0)
+            return ReplicaFault::None;
+        if (faults.remainingRequests > 0)
+            --faults.remainingRequests;
+        return faults.fault;
+    }
+
+    std::vector<net::HttpHeader> responseHeaders(const std::string& id) const
+    {
+        return { { "Request-Id", id }, { "Server-Seal", replicaSeal },
+            { "Server-Load", fmt::format("{},0,{}", runningRequests, options.batchSlots) } };
+    }
+
+    void executeRequest(net::HttpExchange& exchange)
+    {
+        const net::HttpRequest& request = exchange.request();
+        std::string id(net::httpHeader(request.headers, "Request-Id"));
+        std::string expected(net::httpHeader(request.headers, "Expect-Instance"));
+        std::string model(net::httpHeader(request.headers, "Model"));
+        std::string baseModel = model.substr(0, model.find('/'));
+        std::string crashingPart = findCrashingPart(net::httpHeader(request.headers, "Prompt-Prefix"));
+        if (!crashingPart.empty())
+            history.crashingArrivals.push_back({ base::Clock::now(), crashingPart });
+        bool isLoaded = !options.isEngine
+            || (loadedModels.contains(baseModel) && (baseModel == model || loadedAdapters.contains(model)));
+        if ((!expected.empty() && expected != options.id) || !isLoaded) {
+            exchange.respond({ 421, { { "Instance-Id", options.id } }, "" });
+            return;
+        }
+        ReplicaFault fault = nextFault();
+        if (fault == ReplicaFault::Refuse) {
+            exchange.respond({ 503, { { "Not-Executed", "1" }, { "Request-Id", id } }, "" });
+            return;
+        }
+        size_t executionIndex = history.executions.size();
+        history.executions.push_back({ id, std::string(net::httpHeader(request.headers, "Tenant")), model,
+            std::string(net::httpHeader(request.headers, "Last-Event-Id")),
+            !net::httpHeader(request.headers, "Authorization").empty(), false, base::Clock::now(), {} });
+        ++runningRequests;
+        ++runningByModel[model];
+        exchange.setDisconnectHandler(
+            [this, executionIndex] { history.executions[executionIndex].wasDisconnected = true; });
+        if (options.isEngine)
+            respondStream(exchange, id, executionIndex, fault, crashingPart);
+        else
+            respondPlain(exchange, id, fault);
+        --runningRequests;
+        --runningByModel[model];
+        history.executions[executionIndex].endedAt = base::Clock::now();
+    }
+
+    void waitForDisconnect(net::HttpExchange& exchange)
+    {
+        while (!isStopped && !exchange.isClientDisconnected())
+            net::sleepFor(replicaPollInterval);
+    }
+
+    void respondPlain(net::HttpExchange& exchange, const std::string& id, ReplicaFault fault)
+    {
+        net::sleepFor(options.processingTime);
+        std::string body = "answer to " + id;
+        switch (fault) {
+        case ReplicaFault::Fail:
+            exchange.respond({ 500, responseHeaders(id), "failed" });
+            return;
+        case ReplicaFault::LoseResponse:
+            exchange.setDisconnectHandler(nullptr);
+            exchange.startStream(500, {});
+            return;
+        case ReplicaFault::Truncate:
+            exchange.startStream(200, responseHeaders(id));
+            exchange.sendChunk(body.substr(0, 4));
+            return;
+        case ReplicaFault::ForeignResponse:
+            exchange.respond({ 200, responseHeaders("ffffffffffffffff"), "answer to somebody else" });
+            exchange.respond({ 200, responseHeaders(id), body });
+            return;
+        case ReplicaFault::NoSeal:
+            exchange.respond({ 200, { { "Request-Id", id } }, body });
+            return;
+        case ReplicaFault::Hang:
+            waitForDisconnect(exchange);
+            return;
+        case ReplicaFault::None:
+        case ReplicaFault::Refuse:
+        case ReplicaFault::CloseAfterHead:
+            exchange.respond({ 200, responseHeaders(id), body });
+            return;
+        }
+    }
+
+    void respondStream(net::HttpExchange& exchange, const std::string& id, size_t executionIndex, ReplicaFault fault,
+        const std::string& crashingPart)
+    {
+        if (fault == ReplicaFault::Fail) {
+            exchange.respond({ 500, responseHeaders(id), "failed" });
+            return;
+        }
+        if (fault == ReplicaFault::Hang) {
+            waitForDisconnect(exchange);
+            return;
+        }
+        const std::string& last = history.executions[executionIndex].lastEventId;
+        int first = last.empty() ? 1 : std::stoi(last) + 1;
+        auto streamHeaders = responseHeaders(id);
+        streamHeaders.push_back({ "Content-Type", "text/event-stream" });
+        if (fault == ReplicaFault::LoseResponse || !exchange.startStream(200, streamHeaders)
+            || fault == ReplicaFault::CloseAfterHead)
+            return;
+        if (!crashingPart.empty()) {
+            net::sleepFor(options.crashDelay);
+            crash(crashingPart);
+            return;
+        }
+        for (int event = first; event <= options.eventsPerStream; ++event) {
+            net::sleepFor(options.processingTime);
+            std::string text = fmt::format("id: {}\ndata: piece {}\n\n", event, event);
+            if (fault == ReplicaFault::Truncate && event > faults.truncateAfterEvents) {
+                exchange.sendChunk(text.substr(0, text.size() / 2));
+                return;
+            }
+            if (!exchange.sendChunk(text))
+                return;
+        }
+        exchange.finishStream();
+    }
+};
+
+} // namespace rattanshunt::lab
--- a/tests/CrashingPromptPartTests.cpp
+++ b/tests/CrashingPromptPartTests.cpp
@@ -1,6 +1,8 @@
 // Requests with one prompt part crash every replica that begins to answer them. The rule: after the fifth crash plus
 // the contact time, at most three more reach replicas; from twice that time on, sound requests with the same key or
 // first part begin at the first attempt at least half as often as before.
+#include <numeric>
+
 #include "GatewayFleet.h"
 #include "Support.h"
 
@@ -13,7 +15,6 @@
 constexpr size_t crashesOfRule = 5;
 constexpr size_t maxLateArrivals = 3;
 constexpr size_t minJudgedRequests = 20;
-constexpr const char* crashingPart = "dead";
 
 struct SoundRequest {
     base::TimePoint sentAt {};
@@ -27,6 +28,7 @@
 
     net::Loop& loop;
     GatewayFleet fleet;
+    std::set<std::string> parts; // that crash replicas
     std::vector<LabGateway*> gateways;
     std::vector<ReplicaStandIn*> replicas;
     std::vector<SoundRequest> sound;
@@ -37,9 +39,10 @@
     size_t openCalls = 0;
     size_t senders = 0;
 
-    explicit CrashingPartFixture(net::Loop& testLoop, const std::set<std::string>& crashingParts = { crashingPart })
+    explicit CrashingPartFixture(net::Loop& testLoop, const std::set<std::string>& crashingParts = { "dead" })
         : loop(testLoop)
         , fleet(testLoop)
+        , parts(crashingParts)
     {
         fleet.configure(labConfiguration(1));
         for (size_t i = 0; i < replicaCount; ++i) {
@@ -48,6 +51,7 @@
             options.service = "engine";
             options.isEngine = true;
             options.processingTime = base::Millis(40);
+            options.keepsIdAtRestart = i % 2 == 1;
             options.modelSizesMb = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
             options.loadedModels = { "m1" };
             replicas.push_back(&fleet.addReplica(options));
@@ -60,10 +64,7 @@
     }
     ~CrashingPartFixture()
     {
-        isSendingSound = false;
-        isSendingCrashing = false;
-        while (openCalls || senders)
-            net::sleepFor(base::Millis(20));
+        stopSending();
         fleet.stop();
     }
 
@@ -73,11 +74,20 @@
         return *gateways.back();
     }
 
-    // A gateway that ends before its time is replaced by one without its memory.
-    void replaceGateway(size_t index)
+    // Kills these gateways at the same time and starts others in their places, without their memory.
+    void replaceGateways(const std::vector<size_t>& indexes)
     {
-        LabGateway* former = std::exchange(gateways[index], &fleet.addGateway(fmt::format("g{}-new", index)));
-        fleet.kill(*former);
+        size_t killing = indexes.size();
+        for (size_t index : indexes) {
+            loop.spawn([this, &killing, former = gateways[index]] {
+                fleet.kill(*former);
+                --killing;
+            });
+        }
+        while (killing)
+            net::sleepFor(base::Millis(5));
+        for (size_t index : indexes)
+            gateways[index] = &fleet.addGateway(fmt::format("g{}-new", index));
     }
 
     size_t hubIndex() const
@@ -89,25 +99,46 @@
         return 0;
     }
 
-    std::vector<base::TimePoint> timesOf(std::vector<base::TimePoint> ReplicaHistory::*member) const
+    std::vector<base::TimePoint> timesOf(std::vector<PartEvent> ReplicaHistory::*member, const std::string& part) const
     {
         std::vector<base::TimePoint> times;
         for (const ReplicaStandIn* replica : replicas) {
-            const auto& own = replica->history().*member;
-            times.insert(times.end(), own.begin(), own.end());
+            for (const PartEvent& event : replica->history().*member) {
+                if (event.part == part)
+                    times.push_back(event.at);
+            }
         }
         std::sort(times.begin(), times.end());
         return times;
     }
-    std::vector<base::TimePoint> crashes() const { return timesOf(&ReplicaHistory::crashes); }
-    std::vector<base::TimePoint> crashingArrivals() const { return timesOf(&ReplicaHistory::crashingArrivals); }
+    std::vector<base::TimePoint> crashesOf(const std::string& part) const
+    {
+        return timesOf(&ReplicaHistory::crashes, part);
+    }
 
+    // Waits until each of `parts` has crashed replicas `count` times.
     bool waitForCrashes(size_t count, base::Seconds timeout)
     {
         base::TimePoint deadline = base::Clock::now() + timeout;
-        while (crashes().size() < count && base::Clock::now() < deadline)
+        auto hasAll = [&] {
+            return std::all_of(
+                parts.begin(), parts.end(), [&](const std::string& part) { return crashesOf(part).size() >= count; });
+        };
+        while (!hasAll() && base::Clock::now() < deadline)
             net::sleepFor(base::Millis(5));
-        return crashes().size() >= count;
+        return hasAll();
+    }
+
+    // The fifth crash under each part, or the last one under a part with fewer; the latest of these times.
+    base::TimePoint decisiveCrash() const
+    {
+        base::TimePoint latest {};
+        for (const std::string& part : parts) {
+            std::vector<base::TimePoint> times = crashesOf(part);
+            cr_assert(!times.empty());
+            latest = std::max(latest, times[std::min(times.size(), crashesOfRule) - 1]);
+        }
+        return latest;
     }
 
     // Sends a request in a fiber of its own to the gateway `index`; `onDone` gets what its caller received.
@@ -131,23 +162,23 @@
                 sound[request].hasBegun = response.status == 200 && response.body.find("data:") != std::string::npos;
             });
     }
-    void sendCrashing(size_t index, const std::string& part = crashingPart)
+    void sendCrashing(size_t index, const std::string& part)
     {
         send(index, fmt::format("aa:20,cc:20,{}:10,e{:x}:10", part, ++crashingSent), [](const CallerResponse&) {});
     }
 
-    void startSound(base::Millis interval = base::Millis(40))
+    void startSound(base::Millis interval = base::Millis(40), const std::string& sharedParts = "aa:20,cc:20")
     {
         ++senders;
-        loop.spawn([this, interval] {
+        loop.spawn([this, interval, sharedParts] {
             for (size_t turn = 0; isSendingSound; ++turn) {
-                sendSound(turn % gateways.size());
+                sendSound(turn % gateways.size(), sharedParts);
                 net::sleepFor(interval);
             }
             --senders;
         });
     }
-    void startCrashing(base::Millis interval = base::Millis(200), const std::string& part = crashingPart)
+    void startCrashing(const std::string& part, base::Millis interval = base::Millis(200))
     {
         ++senders;
         loop.spawn([this, interval, part] {
@@ -159,10 +190,20 @@
         });
     }
 
-    size_t arrivalsAfter(base::TimePoint time) const
+    void checkLateArrivals() const
     {
-        std::vector<base::TimePoint> arrivals = crashingArrivals();
-        return static_cast<size_t>(arrivals.end() - std::upper_bound(arrivals.begin(), arrivals.end(), time));
+        for (const std::string& part : parts) {
+            std::vector<base::TimePoint> crashes = crashesOf(part);
+            if (crashes.size() < crashesOfRule)
+                continue;
+            base::TimePoint allowedUntil = crashes[crashesOfRule - 1] + contactTime;
+            std::vector<base::TimePoint> arrivals = timesOf(&ReplicaHistory::crashingArrivals, part);
+            size_t late = static_cast<size_t>(
+                arrivals.end() - std::upper_bound(arrivals.begin(), arrivals.end(), allowedUntil));
+            cr_expect_leq(late, maxLateArrivals,
+                "%zu requests with %s came to replicas too late, which crashed %zu times", late, part.c_str(),
+                crashes.size());
+        }
     }
 
     // The share of the sound requests sent in [from, until) that began. Precondition: enough were sent to be judged.
@@ -179,47 +220,167 @@
         return static_cast<double>(begun) / static_cast<double>(sent);
     }
 
-    // Sound traffic alone, then both kinds. Calls `atCrash` once the replicas have crashed `crashCount` times in all.
-    // Checks the bounds of the rule at the end.
+    // Crashes at which the replica also ran a request that had begun less than `period` before.
+    size_t crashesWithOthers(base::Millis period) const
+    {
+        size_t count = 0;
+        for (const ReplicaStandIn* replica : replicas) {
+            const std::vector<RequestExecution>& executions = replica->history().executions;
+            for (const PartEvent& crash : replica->history().crashes) {
+                auto running = std::count_if(executions.begin(), executions.end(), [&](const RequestExecution& each) {
+                    return each.startedAt < crash.at && each.startedAt > crash.at - period;
+                });
+                count += running > 1 ? 1 : 0; // one of them is the request that crashed it
+            }
+        }
+        return count;
+    }
+
+    // Sends `count` requests with these shared parts, one after the other; returns how many began.
+    size_t countBegun(size_t count, const std::string& sharedParts)
+    {
+        size_t first = sound.size();
+        for (size_t i = 0; i < count; ++i) {
+            sendSound(i % gateways.size(), sharedParts);
+            net::sleepFor(base::Millis(50));
+        }
+        stopSending();
+        return static_cast<size_t>(std::count_if(sound.begin() + static_cast<ptrdiff_t>(first), sound.end(),
+            [](const SoundRequest& each) { return each.hasBegun; }));
+    }
+
+    void stopSending()
+    {
+        isSendingSound = false;
+        isSendingCrashing = false;
+        while (openCalls || senders)
+            net::sleepFor(base::Millis(20));
+    }
+
+    // Sound traffic alone, then crashing traffic with each part beside it. Calls `atCrash` once each part has crashed
+    // replicas `crashCount` times. Checks the bounds of the rule at the end.
     void checkRule(size_t crashCount, const std::function<void()>& atCrash)
     {
         startSound();
         base::TimePoint soundAlone = base::Clock::now();
         net::sleepFor(base::Millis(1500));
         base::TimePoint disturbed = base::Clock::now();
-        startCrashing();
+        for (const std::string& part : parts)
+            startCrashing(part);
         if (waitForCrashes(crashCount, base::Seconds(4)))
             atCrash();
         waitForCrashes(crashesOfRule, base::Seconds(4));
-        std::vector<base::TimePoint> seen = crashes();
-        cr_assert(!seen.empty());
-        base::TimePoint anchor = seen.size() >= crashesOfRule ? seen[crashesOfRule - 1] : seen.back();
-        net::sleepUntil(anchor + 2 * contactTime);
-        seen = crashes();
-        if (seen.size() < crashesOfRule)
-            anchor = seen.back();
-        net::sleepUntil(anchor + 2 * contactTime + base::Millis(1500));
+        net::sleepUntil(decisiveCrash() + 2 * contactTime);
+        base::TimePoint judgedFrom = decisiveCrash() + 2 * contactTime; // later if there was another crash meanwhile
+        net::sleepUntil(judgedFrom + base::Millis(1500));
         base::TimePoint end = base::Clock::now();
-        isSendingSound = false;
-        isSendingCrashing = false;
-        while (openCalls || senders)
-            net::sleepFor(base::Millis(20));
-
-        size_t late = crashes().size() >= crashesOfRule ? arrivalsAfter(crashes()[crashesOfRule - 1] + contactTime) : 0;
-        cr_expect_leq(late, maxLateArrivals, "%zu requests reached replicas later than allowed, %zu crashes in all",
-            late, crashes().size());
+        stopSending();
+        checkLateArrivals();
         double before = begunShare(soundAlone, disturbed - base::Millis(300));
-        double after = begunShare(anchor + 2 * contactTime, end);
+        double after = begunShare(judgedFrom, end);
         cr_expect_geq(after, before / 2, "sound requests: %.2f began before, %.2f afterwards", before, after);
     }
 };
 
 } // namespace
 
-Test(crashing_prompt_part, replicas_stop_ending_under_requests_with_one_prompt_part, .timeout = 40)
+Test(crashing_prompt_part, replicas_stop_ending_under_requests_with_one_prompt_part, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
         CrashingPartFixture fixture(loop);
         fixture.checkRule(1, [] {});
     });
 }
+
+Test(crashing_prompt_part, two_parts_are_found_at_once, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop, { "dead", "dad0" });
+        fixture.checkRule(1, [] {});
+    });
+}
+
+Test(crashing_prompt_part, is_found_although_the_hub_dies_at_the_third_crash, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop);
+        fixture.checkRule(3, [&] { fixture.replaceGateways({ fixture.hubIndex() }); });
+    });
+}
+
+// What was found has to outlive the processes that found it.
+Test(crashing_prompt_part, is_known_after_a_restart_of_all_gateways, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop);
+        fixture.checkRule(crashesOfRule, [&] {
+            net::sleepUntil(fixture.decisiveCrash() + contactTime);
+            std::vector<size_t> all(fixture.gateways.size());
+            std::iota(all.begin(), all.end(), size_t(0));
+            fixture.replaceGateways(all);
+        });
+    });
+}
+
+Test(crashing_prompt_part, is_refused_by_a_gateway_that_starts_after_it_was_found, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop);
+        fixture.startSound();
+        net::sleepFor(base::Millis(500));
+        fixture.startCrashing("dead");
+        fixture.waitForCrashes(crashesOfRule, base::Seconds(4));
+        net::sleepUntil(fixture.decisiveCrash() + contactTime);
+        fixture.isSendingCrashing = false;
+        fixture.addGateway();
+        cr_assert(fixture.fleet.waitReady());
+        for (int i = 0; i < 20; ++i) {
+            fixture.sendCrashing(fixture.gateways.size() - 1, "dead");
+            net::sleepFor(base::Millis(100));
+        }
+        fixture.stopSending();
+        fixture.checkLateArrivals();
+    });
+}
+
+// ---- False accusations ---------------------------------------------------------------------------
+
+Test(crashing_prompt_part, another_part_in_prefill_at_the_crashes_is_served, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        constexpr base::Millis processingTime { 150 }; // longer than a crash takes
+        CrashingPartFixture fixture(loop);
+        for (ReplicaStandIn* replica : fixture.replicas)
+            replica->setProcessingTime(processingTime);
+        fixture.startSound(base::Millis(50), "aa:20,beef:20");
+        net::sleepFor(base::Millis(500));
+        fixture.startCrashing("dead");
+        fixture.waitForCrashes(crashesOfRule, base::Seconds(4));
+        net::sleepUntil(fixture.decisiveCrash() + contactTime);
+        fixture.stopSending();
+        cr_assert_geq(fixture.crashesWithOthers(processingTime), 2);
+        net::sleepFor(base::Millis(2500)); // until the last replica is back
+        size_t begun = fixture.countBegun(20, "aa:20,beef:20");
+        cr_expect_geq(begun, 18, "%zu of 20 requests with the part began", begun);
+    });
+}
+
+Test(crashing_prompt_part, connections_reset_by_replicas_that_go_on_accuse_no_part, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop, {});
+        for (ReplicaStandIn* replica : fixture.replicas)
+            replica->faults() = { ReplicaFault::CloseAfterHead, 1 };
+        auto hasResetOn = [](const ReplicaStandIn* replica) { return replica->history().executions.size() > 0; };
+        for (size_t i = 0; i < 200 && !std::all_of(fixture.replicas.begin(), fixture.replicas.end(), hasResetOn); ++i) {
+            fixture.sendSound(i % fixture.gateways.size(), "aa:20,beef:20");
+            net::sleepFor(base::Millis(20));
+        }
+        fixture.stopSending();
+        for (ReplicaStandIn* replica : fixture.replicas)
+            cr_assert_eq(replica->faults().remainingRequests, 0);
+        net::sleepFor(contactTime);
+        size_t begun = fixture.countBegun(20, "aa:20,beef:20");
+        cr_expect_eq(begun, 20, "%zu of 20 requests with the part began", begun);
+    });
+}
