Log the prompt parts of attempts that end with their replica

On call could not tell what the requests had in common under which replicas ended, one after the other: the line request.attempt did not name the parts of their prompts. An answer that states no length and ends with its connection counts too, as its end may be that of the replica. No decision changes.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -275,6 +275,7 @@
 void Gateway::serve(net::HttpExchange& exchange)
 {
     RequestContext request { exchange, m_codec.readRequest(exchange.request()) };
+    request.sharedParts = sharedPartsOf(request.head);
     request.arrivedAt = BootClock::now();
     request.deadline = request.arrivedAt;
     m_requests.insert(&request);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -105,6 +105,8 @@
         RequestContext&, const std::set<std::string>& tried, bool& hasUsableReplica);
     std::optional<base::BootTime> estimatedReadyAt(const RequestContext&) const;
     AttemptResult runAttempt(RequestContext&, const directory::Replica&);
+    void beginPartEvidence(RequestContext&);
+    void recordPartEvidence(RequestContext&, const ReplicaEntry&, AttemptResult&);
     void finish(RequestContext&, NextStep, const AttemptResult&, std::optional<base::Millis> retryAfter);
     void refuse(RequestContext&, int status, const char* reason, std::optional<base::Millis> retryAfter);
     void recordRequestEnd(const RequestContext&, int status, const char* outcome, const char* reason);
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -211,6 +211,7 @@
     request.onLoad = [this, id = entry.id](const ResponseHead::Load& load) {
         recordLoad(m_replicaStats[id], load.running, load.waiting, BootClock::now());
     };
+    beginPartEvidence(request);
     BootTime begunAt = BootClock::now();
     AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool, m_responseMemory);
     attempts::progressCountAttempt(request.progress, result.outcome);
@@ -231,7 +232,9 @@
             { { "id", request.head.id }, { "replica", entry.id }, { "attempt", request.progress.attemptsMade },
                 { "end", result.reason }, { "status", result.response.status },
                 { "reused", result.wasConnectionReused }, { "took_ms", millisSince(now, begunAt) },
-                { "trouble", stats.failureScore }, { "events", request.eventSplitter.completeEvents } });
+                { "trouble", stats.failureScore }, { "events", request.eventSplitter.completeEvents },
+                { "parts", attemptPartsText(request, result) } });
+    recordPartEvidence(request, entry, result);
     wakeWaiting();
     return result;
 }
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -23,6 +23,30 @@
         return result;
     }
 
+    AttemptResult makeCallResult(HttpCallError error)
+    {
+        AttemptResult result
+            = makeResult(AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
+        result.hasConnectionEnded = error == HttpCallError::Closed || error == HttpCallError::SendFailed;
+        return result;
+    }
+
+    // Whether the response states its length or is chunked. The end of any other one is that of its connection.
+    bool isDelimited(const net::HttpResponse& response)
+    {
+        return net::httpHeaderCount(response.headers, "Content-Length")
+            || net::httpHeaderCount(response.headers, "Transfer-Encoding");
+    }
+
+    // Calls onSettled if events have arrived for long enough.
+    void countEvents(RequestContext& request, base::BootTime now)
+    {
+        if (request.attemptFirstEventAt == base::BootTime {})
+            request.attemptFirstEventAt = now;
+        if (now - request.attemptFirstEventAt >= prompts::settleTime && request.onSettled)
+            std::exchange(request.onSettled, nullptr)();
+    }
+
     base::TimePoint steadyDeadline(const RequestContext& request)
     {
         return base::Clock::now() + requestTimeLeft(request, BootClock::now()) + responseMargin;
@@ -81,8 +105,7 @@
             bytes.clear();
             HttpCallError error = request.connection->readSome(bytes, isEnd, steadyDeadline(request));
             if (error != HttpCallError::None)
-                return makeResult(
-                    AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
+                return makeCallResult(error);
             if (request.onFirstByte)
                 std::exchange(request.onFirstByte, nullptr)();
             std::string complete = eventsSplit(request.eventSplitter, bytes);
@@ -98,6 +121,7 @@
                     return makeResult(AttemptOutcome::Unknown, "caller_gone", false);
             }
             base::BootTime now = BootClock::now();
+            countEvents(request, now);
             if (request.firstEventAt == base::BootTime {})
                 request.firstEventAt = now;
             else
@@ -132,12 +156,12 @@
         ResponseHead head;
         HttpCallError error = readOwnHead(request, codec, response, head);
         if (error != HttpCallError::None)
-            return makeResult(
-                AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
+            return makeCallResult(error);
         base::Duration timeToFirstByte = base::Clock::now() - use.sentAt;
         use.idleTimeout = head.idleTimeout;
         if (head.load && request.onLoad)
             request.onLoad(*head.load);
+        bool isEndedByClose = !isDelimited(response);
         AttemptResult result;
         if (use.wasReused && !head.isIdentified && !head.isNotExecuted) {
             // It may be the late copy of a response to an earlier request.
@@ -152,8 +176,7 @@
             ResponseMemoryShare& share = result.memory;
             error = readBody(request, response.body, share);
             if (error != HttpCallError::None)
-                result = makeResult(
-                    AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
+                result = makeCallResult(error);
             else if (head.isNotExecuted)
                 result = makeResult(
                     AttemptOutcome::NotExecuted, head.isMisdirected ? "misdirected" : "replica_refused", false);
@@ -167,6 +190,10 @@
                 result = makeResult(AttemptOutcome::Unknown, "not_to_be_passed_on", true);
             result.response = std::move(response);
         }
+        bool isRead = result.outcome == AttemptOutcome::Complete || std::string_view(result.reason) == "half_event";
+        result.hasConnectionEnded = result.hasConnectionEnded || (isRead && isEndedByClose);
+        if (result.outcome == AttemptOutcome::Complete && !result.hasConnectionEnded && request.onSettled)
+            std::exchange(request.onSettled, nullptr)();
         result.wasMisdirected = head.isMisdirected;
         result.timeToFirstByte = timeToFirstByte;
         use.mayReuse = (result.outcome != AttemptOutcome::Unknown) && !head.closesConnection;
@@ -205,7 +232,7 @@
     HttpCallError error
         = connection->send(codec.writeAttempt(request.exchange.request(), target), steadyDeadline(request));
     if (error != HttpCallError::None)
-        result = makeResult(AttemptOutcome::Unknown, net::httpCallErrorName(error), error != HttpCallError::Cancelled);
+        result = makeCallResult(error);
     else
         result = readResponse(request, codec, memory, use);
     request.connection = nullptr;
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -15,6 +15,7 @@
 #include "gateway/ServerSentEvents.h"
 #include "gateway/WireCodec.h"
 #include "net/Http.h"
+#include "prompts/PartLedger.h"
 
 namespace rattanshunt::gateway {
 
@@ -39,6 +40,8 @@
     base::BootTime firstByteDeadline {}; // if the first byte has not arrived by then, the caller disconnects
     RequestProgress progress {};
     EventSplitter eventSplitter {};
+    std::vector<std::string> sharedParts {};                  // ids of the prompt's parts but the last
+    base::BootTime attemptFirstEventAt {};                    // time of the first event of the present attempt
     bool isAwaitingModel = false;                             // waiting, and no replica has the model loaded
     bool hasCallerLeft = false;                               // the caller has disconnected
     base::Duration totalWait { 0 };                           // time spent waiting for a replica, over all attempts
@@ -48,7 +51,8 @@
     net::HttpConnection* connection = nullptr;                // to the replica, during an attempt
     std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
     std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
-    net::Event wakeEvent {}; // set when something that the request waits for may have changed
+    std::function<void()> onSettled {}; // called when the answer to an attempt has settled, then null
+    net::Event wakeEvent {};            // set when something that the request waits for may have changed
 };
 
 struct AttemptResult {
@@ -60,6 +64,7 @@
     ResponseMemoryShare memory;           // of `response`
     base::Duration timeToFirstByte { 0 }; // from sending the request to the head of the response
     bool wasConnectionReused = false;     // the connection had been used before
+    bool hasConnectionEnded = false;      // at the replica's side, before the end of the answer or as its end
 };
 
 // Timeout for opening a connection to a replica.
@@ -72,6 +77,13 @@
 AttemptResult attemptRun(
     RequestContext&, const ReplicaEntry&, const WireCodec&, ReplicaConnectionPool&, ResponseMemory& memory);
 
+// The ids of the parts of the prompt that other requests may share: all but the last. Those that are not UTF-8 are left
+// out, as they could not be passed on to other daemons.
+std::vector<std::string> sharedPartsOf(const RequestHead&);
+
+// The shared parts of an attempt that ended with its connection before its answer had settled; empty for any other.
+std::string attemptPartsText(const RequestContext&, const AttemptResult&);
+
 // Time left until the deadline.
 base::Millis requestTimeLeft(const RequestContext&, base::BootTime now);
 
