--- a/lab/ReplicaStandInOrders.cpp
+++ b/lab/ReplicaStandInOrders.cpp
@@ -78,9 +78,10 @@
     events.onRequest = [impl = shared_from_this()](net::HttpExchange& exchange) { impl->handleRequest(exchange); };
     events.onMalformed = [](int status, std::string_view) { return net::HttpResponse { status, {}, "" }; };
     auto started = net::httpServe(loop, address, {}, std::move(events), error);
-    if (started)
-        server = std::move(started);
-    return started.has_value();
+    if (!started)
+        return false;
+    server = std::move(started);
+    return true;
 }
 
 void ReplicaStandIn::Impl::forgetState()
