Model the search for prompt parts that end replicas

The explorer drives the ledger with three replicas, two parts that end them, a shared part and an innocent one, cut connections, lost reports, late and repeated messages and a hub change. Invariants: a part is blocked only if three lives ended under it; a part that settled is not blocked once the hub knows; a part under which three lives ended is blocked in time; a block outlives its hub. No violation with all safeguards. A violation is found without each of: settling clears, reports void ends, ends count by life, daemons tell a new hub, a new hub takes over blocks.

--- a/lab/Explorer.h
+++ b/lab/Explorer.h
@@ -9,7 +9,8 @@
 //   [1] Explorer        explore(): breadth-first search over text state keys, bounded in depth and states, then random
 //                       walks
 //   [2] Models          Safeguard, explorerCases(): budget, placement, idempotency, configuration, attempts of a
-//                       request, orders of the hub, what a replica holds, freshness, retry budget
+//                       request, orders of the hub, what a replica holds, freshness, retry budget,
+//                       prompt parts
 //
 // Virtual time only. Any thread; one thread per search.
 #pragma once
@@ -82,6 +83,11 @@
     OrdersOfEarlierStarts,     // unanswered orders are forgotten when their replica restarts
     ReducedBudgetAfterRestart, // a restarted daemon uses its full share of the constant part of the retry budget
     RetryBudgetShare,          // each daemon uses the whole constant part of the retry budget
+    SettledPartIsInnocent,     // an answer with a prompt part does not clear it
+    ReportVoidsEnd,            // a replica that goes on reporting counts as ended if a connection to it ended
+    EndsOfDistinctLives,       // each observation of a replica's end counts
+    RetellNewHub,              // daemons tell a new hub nothing of what they observed before
+    TakeOverBlocks,            // a new hub starts without the blocks of its predecessor
 };
 
 struct ExplorerCase {
--- a/lab/ExplorerModels.cpp
+++ b/lab/ExplorerModels.cpp
@@ -49,6 +49,12 @@
     add("repeats", retryBudgetModel, Safeguard::None);
     add("repeats without a budget share for each daemon", retryBudgetModel, Safeguard::RetryBudgetShare);
     add("repeats with a full budget share after a restart", retryBudgetModel, Safeguard::ReducedBudgetAfterRestart);
+    add("parts", promptPartsModel, Safeguard::None);
+    add("parts that answers do not clear", promptPartsModel, Safeguard::SettledPartIsInnocent);
+    add("parts with ends of replicas that go on", promptPartsModel, Safeguard::ReportVoidsEnd);
+    add("parts with repeated ends of one life", promptPartsModel, Safeguard::EndsOfDistinctLives);
+    add("parts that a new hub is not told of", promptPartsModel, Safeguard::RetellNewHub);
+    add("parts whose blocks end with the hub", promptPartsModel, Safeguard::TakeOverBlocks);
     return cases;
 }
 
--- a/lab/ExplorerModels.h
+++ b/lab/ExplorerModels.h
@@ -79,5 +79,6 @@
 std::unique_ptr<ExplorerModel> replicaLedgerModel(Safeguard removedSafeguard, bool startsWithLateOrder);
 std::unique_ptr<ExplorerModel> freshnessModel(Safeguard removedSafeguard);
 std::unique_ptr<ExplorerModel> retryBudgetModel(Safeguard removedSafeguard);
+std::unique_ptr<ExplorerModel> promptPartsModel(Safeguard removedSafeguard);
 
 } // namespace rattanshunt::lab
--- a/tests/ExplorerTests.cpp
+++ b/tests/ExplorerTests.cpp
@@ -55,3 +55,4 @@
 }
 EXPLORER_TEST(freshness)
 EXPLORER_TEST(repeats)
+EXPLORER_TEST(parts)
