--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -41,7 +41,7 @@
     base::Millis processingTime { 5 };          // of a plain request, or per event of a stream
     base::Millis loadTime { 40 };               // of a model
     int eventsPerStream = 5;
-    base::Millis crashDelay { 50 };     // from the head of a crashing response to the end of the replica
+    base::Millis crashDelay { 50 };     // from the head or last event of a crashing response to the end of the replica
     base::Millis restartDelay { 1500 }; // from a crash to the new start
     bool keepsIdAtRestart = false;      // otherwise each start after a crash has an identifier of its own
 };
@@ -51,8 +51,9 @@
     int remainingRequests = 0;     // that the fault applies to; negative: unlimited
     int truncateAfterEvents = 2;   // for ReplicaFault::Truncate of a stream
     base::Millis orderDelay { 0 }; // above 0: orders get no response and are executed after this delay
-    // A stream whose prompt holds one of these parts, except as its last part, crashes the replica before any event.
+    // A stream whose prompt holds one of these parts, except as its last part, crashes the replica.
     std::set<std::string> crashingParts {};
+    int eventsBeforeCrash = 0;
 };
 
 struct RequestExecution {
--- a/lab/ReplicaStandInImpl.h
+++ b/lab/ReplicaStandInImpl.h
@@ -210,12 +210,12 @@
         if (fault == ReplicaFault::LoseResponse || !exchange.startStream(200, streamHeaders)
             || fault == ReplicaFault::CloseAfterHead)
             return;
-        if (!crashingPart.empty()) {
-            net::sleepFor(options.crashDelay);
-            crash(crashingPart);
-            return;
-        }
         for (int event = first; event <= options.eventsPerStream; ++event) {
+            if (!crashingPart.empty() && event - first >= faults.eventsBeforeCrash) {
+                net::sleepFor(options.crashDelay);
+                crash(crashingPart);
+                return;
+            }
             net::sleepFor(options.processingTime);
             std::string text = fmt::format("id: {}\ndata: piece {}\n\n", event, event);
             if (fault == ReplicaFault::Truncate && event > faults.truncateAfterEvents) {
--- a/tests/CrashingPromptPartTests.cpp
+++ b/tests/CrashingPromptPartTests.cpp
@@ -300,6 +300,17 @@
     });
 }
 
+// The first event of an answer does not show that its prompt is harmless.
+Test(crashing_prompt_part, is_found_although_replicas_end_after_the_first_event, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop);
+        for (ReplicaStandIn* replica : fixture.replicas)
+            replica->faults().eventsBeforeCrash = 1;
+        fixture.checkRule(1, [] {});
+    });
+}
+
 Test(crashing_prompt_part, is_found_although_the_hub_dies_at_the_third_crash, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
