Block prompt parts under which replicas end, on all daemons

Cause: nothing related the ends of replicas to what the requests under them had in common, and each daemon saw a few of these requests only. Retries took a request, and those beside it, to the next replica. Ruled out as the whole cause: retries alone, as most attempts were first ones; placement, as the ends spread over all replicas of the route.

Change: an attempt that ends with its connection before its answer has settled is evidence against all parts of its prompt but the last. Daemons tell the hub at once. An end counts unless a report of the same life of the replica was requested after it, so cut connections accuse nobody, and a part on which an answer has settled at any daemon is innocent. Three ends on distinct lives block a part for 10 min, and longer each time; then it is on probation. Requests with a blocked part are refused before they are charged, while they wait, and right before an attempt is sent. A request is not retried if a part of it has ended another replica before. Blocks are in the store (rs/parts) and outlast all daemons; an operator lifts one by deleting its row. Innocence lasts 10 min, so that a part that begins to end replicas with new weights is found.

--- a/src/attempts/RetryPolicy.cpp
+++ b/src/attempts/RetryPolicy.cpp
@@ -16,8 +16,8 @@
 
 NextStep stepAfterAttempt(const RequestProgress& progress, AttemptOutcome outcome, RetryConditions conditions)
 {
-    bool mayRetry
-        = conditions.hasBudget && conditions.hasTime && progress.attemptsPossiblyExecuted < progress.maxAttempts;
+    bool mayRetry = conditions.hasBudget && conditions.hasTime && !conditions.mayEndReplicas
+        && progress.attemptsPossiblyExecuted < progress.maxAttempts;
     switch (outcome) {
     case AttemptOutcome::Complete:
         return NextStep::Deliver;
--- a/src/attempts/RetryPolicy.h
+++ b/src/attempts/RetryPolicy.h
@@ -58,8 +58,9 @@
 };
 
 struct RetryConditions {
-    bool hasBudget = true; // the fleet's retry budget covers one more retry
-    bool hasTime = true;   // another attempt could still finish before the deadline
+    bool hasBudget = true;       // the fleet's retry budget covers one more retry
+    bool hasTime = true;         // another attempt could still finish before the deadline
+    bool mayEndReplicas = false; // replicas end under requests like this one, see prompts/PartLedger.h
 };
 
 // Attempts beyond maxAttempts that a request may make when replicas refuse it. In gateway/, each one is charged to the
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -188,7 +188,8 @@
 {
     recordRequestEnd(request, status, status < 500 || status == 503 ? "refused" : "failed", reason);
     if (!request.hasCallerLeft)
-        request.exchange.respond(m_codec.writeErrorResponse(status, reason, retryAfter, request.head.id));
+        request.exchange.respond(
+            m_codec.writeErrorResponse(status, refusalText(request, reason), retryAfter, request.head.id));
 }
 
 // ---- Admission ---------------------------------------------------------------------------------
@@ -265,6 +266,10 @@
         timeLimit = std::min(timeLimit, *request.head.timeLeft);
     request.deadline = request.arrivedAt + timeLimit;
     request.firstByteDeadline = request.arrivedAt + std::min(timeLimit, routeFirstByteTimeout(*request.route));
+    if (auto refusal = partRefusal(request)) {
+        refuse(request, 503, refusal->reason, refusal->retryAfter);
+        return false;
+    }
     if (!findAccount(request))
         return false;
     request.priority = std::min(maxPriority, priorityOffset + request.priority);
@@ -317,6 +322,7 @@
         last = runAttempt(request, *replica);
         BootTime now = BootClock::now();
         attempts::RetryConditions conditions;
+        conditions.mayEndReplicas = last.mayEndReplicas;
         conditions.hasTime = !request.hasCallerLeft && requestTimeLeft(request, now) > m_options.waiting.minServiceTime;
         NextStep next = attempts::stepAfterAttempt(request.progress, last.outcome, conditions);
         if (next == NextStep::Retry
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -105,6 +105,7 @@
         RequestContext&, const std::set<std::string>& tried, bool& hasUsableReplica);
     std::optional<base::BootTime> estimatedReadyAt(const RequestContext&) const;
     AttemptResult runAttempt(RequestContext&, const directory::Replica&);
+    std::optional<Refusal> partRefusal(RequestContext&);
     void beginPartEvidence(RequestContext&);
     void recordPartEvidence(RequestContext&, const ReplicaEntry&, AttemptResult&);
     void finish(RequestContext&, NextStep, const AttemptResult&, std::optional<base::Millis> retryAfter);
@@ -129,6 +130,7 @@
     std::map<std::string, RetryBudget> m_retryBudgets;  // by service name
     std::map<hub::DemandKey, double> m_arrivalRates;    // arrivals per second, as of m_arrivalRatesAt
     base::BootTime m_arrivalRatesAt {};
+    std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
     bool m_isDraining = false;
 };
 
--- a/src/gateway/GatewayPrompts.cpp
+++ b/src/gateway/GatewayPrompts.cpp
@@ -2,17 +2,29 @@
 #include <fmt/format.h>
 
 #include "base/Counters.h"
+#include "base/Log.h"
 #include "gateway/Gateway.h"
 
 namespace rattanshunt::gateway {
 
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+
 namespace {
 
+    constexpr base::Seconds partRefusalLogInterval { 1 };
+
     bool hasEndedUnsettled(const RequestContext& request, const AttemptResult& result)
     {
         return result.hasConnectionEnded && request.onSettled && !request.hasCallerLeft;
     }
 
+    std::string attemptParts(const RequestContext& request)
+    {
+        return fmt::format("{}", fmt::join(request.sharedParts, ","));
+    }
+
 } // namespace
 
 std::vector<std::string> sharedPartsOf(const RequestHead& head)
@@ -28,22 +40,65 @@
 
 std::string attemptPartsText(const RequestContext& request, const AttemptResult& result)
 {
-    return hasEndedUnsettled(request, result) ? fmt::format("{}", fmt::join(request.sharedParts, ",")) : "";
+    return hasEndedUnsettled(request, result) ? attemptParts(request) : "";
+}
+
+std::string refusalText(const RequestContext& request, std::string_view reason)
+{
+    return reason == partBlockedReason ? fmt::format("{}: {}", reason, request.blockedPart) : std::string(reason);
+}
+
+// The refusal of a request with a blocked part; nothing if it has none.
+std::optional<Gateway::Refusal> Gateway::partRefusal(RequestContext& request)
+{
+    const prompts::PartView& view = m_hubSync.partView();
+    if (request.sharedParts.empty() || view.blocked.empty())
+        return std::nullopt;
+    BootTime now = BootClock::now();
+    auto blocked = prompts::viewFindBlocked(view, request.service->name, request.sharedParts, now);
+    if (!blocked)
+        return std::nullopt;
+    request.blockedPart = blocked->part;
+    std::erase_if(m_partRefusalLoggedAt, [&](auto& item) { return now - item.second >= partRefusalLogInterval; });
+    if (m_partRefusalLoggedAt.try_emplace(blocked->part, now).second)
+        base::logEvent(LogLevel::Info, "part.refused",
+            { { "part", blocked->part }, { "service", request.service->name }, { "id", request.head.id },
+                { "left_ms", base::millisOf(blocked->timeLeft) } });
+    return Refusal { partBlockedReason, std::chrono::duration_cast<base::Millis>(blocked->timeLeft) };
 }
 
 // Call before each attempt.
 void Gateway::beginPartEvidence(RequestContext& request)
 {
     request.attemptFirstEventAt = {};
-    request.onSettled = [] {};
+    request.mayBeSent = [this, &request] { return !partRefusal(request); };
+    request.onSettled = [this, &request] { m_hubSync.recordSettledParts(request.service->name, request.sharedParts); };
 }
 
 // Call after each attempt.
-void Gateway::recordPartEvidence(RequestContext& request, const ReplicaEntry&, AttemptResult& result)
+void Gateway::recordPartEvidence(RequestContext& request, const ReplicaEntry& entry, AttemptResult& result)
 {
-    if (hasEndedUnsettled(request, result) && !request.sharedParts.empty())
-        base::counterAdd("prompt_part_ends_total");
+    bool hasEnded = hasEndedUnsettled(request, result) && !request.sharedParts.empty();
     request.onSettled = nullptr;
+    request.mayBeSent = nullptr;
+    if (!hasEnded)
+        return;
+    base::counterAdd("prompt_part_ends_total");
+    // A replica that is being removed ends its connections by itself.
+    auto found = m_hubSync.directory().replicas.find(entry.id);
+    if (entry.isDraining || (found != m_hubSync.directory().replicas.end() && found->second.entry.isDraining))
+        return;
+    prompts::ReplicaEnd end;
+    end.life = { entry.id, entry.startedAtMillis };
+    end.observedAt = BootClock::now();
+    end.service = request.service->name;
+    end.parts = request.sharedParts;
+    result.mayEndReplicas
+        = !prompts::retryIsAllowed(m_hubSync.partView(), m_hubSync.settledParts(), end, end.observedAt);
+    if (result.mayEndReplicas)
+        base::logEvent(LogLevel::Info, "part.not_retried",
+            { { "id", request.head.id }, { "replica", entry.id }, { "parts", attemptParts(request) } });
+    m_hubSync.recordReplicaEnd(end);
 }
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -144,6 +144,10 @@
             refusal = { "configuration_stale", m_options.defaultRetryAfter };
             break;
         }
+        if (auto partIsBlocked = partRefusal(request)) {
+            refusal = *partIsBlocked;
+            break;
+        }
         if (replica) {
             m_waitingRequests.erase(&request);
             request.totalWait += now - since;
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -227,6 +227,10 @@
         request.connection = nullptr;
         return makeResult(AttemptOutcome::NotExecuted, request.hasCallerLeft ? "caller_gone" : "time_over", false);
     }
+    if (request.mayBeSent && !request.mayBeSent()) {
+        request.connection = nullptr;
+        return makeResult(AttemptOutcome::NotExecuted, partBlockedReason, false);
+    }
     AttemptTarget target { replica.id, request.accountName, timeLeft, request.priority, request.eventSplitter.lastId };
     use.sentAt = base::Clock::now();
     HttpCallError error
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -40,6 +40,7 @@
     base::BootTime firstByteDeadline {}; // if the first byte has not arrived by then, the caller disconnects
     RequestProgress progress {};
     EventSplitter eventSplitter {};
+    std::string blockedPart {};                               // that the request is refused for
     std::vector<std::string> sharedParts {};                  // ids of the prompt's parts but the last
     base::BootTime attemptFirstEventAt {};                    // time of the first event of the present attempt
     bool isAwaitingModel = false;                             // waiting, and no replica has the model loaded
@@ -51,6 +52,7 @@
     net::HttpConnection* connection = nullptr;                // to the replica, during an attempt
     std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
     std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
+    std::function<bool()> mayBeSent {};                       // asked right before an attempt is sent
     std::function<void()> onSettled {}; // called when the answer to an attempt has settled, then null
     net::Event wakeEvent {};            // set when something that the request waits for may have changed
 };
@@ -64,9 +66,13 @@
     ResponseMemoryShare memory;           // of `response`
     base::Duration timeToFirstByte { 0 }; // from sending the request to the head of the response
     bool wasConnectionReused = false;     // the connection had been used before
+    bool mayEndReplicas = false;          // no other replica should get the request, see attempts::RetryConditions
     bool hasConnectionEnded = false;      // at the replica's side, before the end of the answer or as its end
 };
 
+// Reason of refusals and attempts that are not made because a part of the prompt is blocked.
+constexpr const char* partBlockedReason = "prompt_part_ends_replicas";
+
 // Timeout for opening a connection to a replica.
 constexpr base::Millis connectTimeout { 700 };
 
@@ -81,6 +87,9 @@
 // out, as they could not be passed on to other daemons.
 std::vector<std::string> sharedPartsOf(const RequestHead&);
 
+// The text of a refusal for the caller: the reason and, if it is partBlockedReason, the part.
+std::string refusalText(const RequestContext&, std::string_view reason);
+
 // The shared parts of an attempt that ended with its connection before its answer had settled; empty for any other.
 std::string attemptPartsText(const RequestContext&, const AttemptResult&);
 
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -122,6 +122,8 @@
             readStore();
             storeMemberCount();
             updateReachableMemberFraction();
+            advanceParts(BootClock::now());
+            storeParts();
             net::sleepFor(m_options.hubReadInterval);
             continue;
         }
@@ -224,6 +226,7 @@
         return;
     std::vector<directory::RawEntry> entries;
     std::optional<HubRecord> record;
+    const coordination::KvEntry* parts = nullptr;
     std::string secret;
     for (const coordination::KvEntry& entry : all.entries) {
         if (entry.key == m_codec.configurationKey)
@@ -237,6 +240,8 @@
                 m_memberCount = m_storedMemberCount;
         } else if (entry.key == secretKey)
             secret = entry.value;
+        else if (entry.key == partsKey)
+            parts = &entry;
         else if (entry.key == hubKey) {
             Json json = Json::parse(entry.value, nullptr, false);
             auto address = json.is_object() ? base::parseAddress(json.value("address", "")) : std::nullopt;
@@ -251,6 +256,7 @@
     logEntryFaults(directory::directoryApplyList(m_directory, m_codec, entries, mayBeLapsed));
     m_freshAsOf = freshAsOfRead(m_freshAsOf, requestedAt);
     m_lastReadAt = requestedAt;
+    applyStoredParts(parts, requestedAt);
     if (!secret.empty())
         ensurePeerNetwork(secret);
     if (!record && m_hubRecord)
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -20,6 +20,8 @@
 //   rs/orderer   {name}, without a lease: the last daemon that issued orders; another daemon waits before its first one
 //   rs/fleet     {members}, without a lease: the number of daemons that share the fleet's budgets, for daemons that
 //                have no hub
+//   rs/parts     {parts: [{service, part, until_ms, blocks}]}, without a lease: the prompt parts that are blocked or on
+//                probation, with the Unix time of the block's end; a part that is deleted there is forgotten by all
 //   rs/secret    the shared secret with which daemons authenticate each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and works after the store's history was compacted. A
@@ -44,6 +46,7 @@
 #include "directory/Directory.h"
 #include "gateway/WireCodec.h"
 #include "hub/HubTerm.h"
+#include "hub/PartSync.h"
 #include "net/PeerNetwork.h"
 #include "quota/AccountQuota.h"
 
@@ -138,6 +141,11 @@
     bool quotaTake(const gateway::Account&, double tokens);
     void quotaReturn(const std::string& account, double tokens);
 
+    // Tells the hub of an attempt that ended with its replica, and of parts on which an answer has settled. Neither
+    // suspends.
+    void recordReplicaEnd(const prompts::ReplicaEnd&);
+    void recordSettledParts(const std::string& service, const std::vector<std::string>& parts);
+
     // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
@@ -167,6 +175,10 @@
     int64_t fencingToken() const { return m_term.fencingToken; }
     bool storeIsReachable() const { return m_storeIsReachable; }
 
+    const prompts::PartView& partView() const { return m_parts.view; }
+    const prompts::SettledParts& settledParts() const { return m_parts.ledger.settled; } // by this daemon
+    size_t blockedPartCount() const;                                                     // without those on probation
+
     const HubSyncOptions& options() const { return m_options; }
 
 private:
@@ -205,6 +217,18 @@
     nlohmann::json memberAddressSample(const std::string& seed) const;
     void applyMemberDemand(HubMember&, const nlohmann::json& body, base::BootTime now);
 
+    // -- prompt parts --
+    void applyPartChanges(const std::vector<prompts::PartChange>&, base::BootTime now);
+    void refreshPartView();
+    void advanceParts(base::BootTime now);
+    void takeOverParts(base::BootTime now);
+    void applyMemberParts(const nlohmann::json& body, base::BootTime now);
+    void addPartsToReply(const nlohmann::json& asked, nlohmann::json& reply, base::BootTime now) const;
+    uint64_t addPartsToRequest(nlohmann::json& body, base::BootTime now);
+    void applyPartsReply(const nlohmann::json& body, base::BootTime requestedAt, uint64_t sentSequence, bool isHub);
+    void applyStoredParts(const coordination::KvEntry* entry, base::BootTime requestedAt);
+    void storeParts();
+
     quota::AccountLimit limitOf(const gateway::Account&) const;
     void chargeUngranted(const std::string& account, double tokens);
 
@@ -264,6 +288,7 @@
     base::BootTime m_ratesSentAt {};
     quota::HubQuota m_hubQuota; // hub only
     quota::LocalQuota m_localQuota;
+    PartSync m_parts;
 };
 
 } // namespace rattanshunt::hub
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -66,6 +66,7 @@
         m_hubQuota.wasLowUsageByAccount = m_localQuota.isLowUsageByAccount;
     base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
     m_loop.spawn([this] { renewLoop(); });
+    takeOverParts(BootClock::now());
 
     auto orderer = m_kv.get(ordererKey);
     auto secret = m_kv.get(secretKey);
@@ -242,6 +243,7 @@
         if (address)
             member.address = *address;
         applyMemberDemand(member, body, now);
+        applyMemberParts(body, now);
         Json unused = body.value("unused", Json::object());
         for (auto& [account, tokens] : unused.items())
             quota::hubQuotaReturn(m_hubQuota, account, tokens.get<double>());
@@ -292,6 +294,7 @@
         { "stamp", m_directory.changeSequence }, { "members", memberCount() } };
     if (m_freshAsOf == BootTime {})
         return reply;
+    addPartsToReply(asked, reply, now);
     reply["age_us"] = std::chrono::duration_cast<base::Micros>(now - m_freshAsOf).count();
     if (asked.value("configuration", int64_t(0)) < m_configurationRevision) {
         reply["configuration"] = m_configurationRevision;
--- /dev/null
+++ b/src/hub/HubSyncParts.cpp
@@ -0,0 +1,331 @@
+// Prompt parts that end replicas: evidence from all daemons to the hub, blocks from the hub to all, and the store.
+#include <ctime>
+
+#include <fmt/format.h>
+
+#include "base/Counters.h"
+#include "base/Log.h"
+#include "hub/HubSyncInternal.h"
+
+namespace rattanshunt::hub {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+using prompts::PartKey;
+using Json = nlohmann::json;
+
+namespace {
+
+    base::Millis unixNow()
+    {
+        auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<base::Millis>(sinceEpoch);
+    }
+
+    // The replicas that ended, each with the age of its end.
+    std::string endsText(const std::vector<prompts::PartEnd>& ends, BootTime now)
+    {
+        std::string text;
+        for (const prompts::PartEnd& end : ends)
+            text += fmt::format("{}{}:{}ms", text.empty() ? "" : ",", end.life.replica, ageMillis(now, end.observedAt));
+        return text;
+    }
+
+    PartKey keyOf(const Json& row)
+    {
+        return { row.at(0).get<std::string>(), row.at(1).get<std::string>() };
+    }
+
+    // The blocks in the store's value. Rows that cannot be read are left out.
+    std::map<PartKey, prompts::PartBlock> readStoredBlocks(const std::string& value, BootTime now)
+    {
+        std::map<PartKey, prompts::PartBlock> blocks;
+        Json json = Json::parse(value, nullptr, false);
+        if (!json.is_object() || !json.contains("parts") || !json.at("parts").is_array())
+            return blocks;
+        for (const Json& row : json.at("parts")) {
+            try {
+                base::Millis left = base::Millis(row.at("until_ms").get<int64_t>()) - unixNow();
+                prompts::PartBlock block;
+                block.until = now + std::min<base::Millis>(left, prompts::maxBlockTime);
+                block.count = row.at("blocks").get<int>();
+                blocks[{ row.at("service").get<std::string>(), row.at("part").get<std::string>() }] = block;
+            } catch (const std::exception& error) {
+                base::logEvent(LogLevel::Warning, "part.record_unreadable", { { "why", error.what() } });
+            }
+        }
+        return blocks;
+    }
+
+} // namespace
+
+// ---- Evidence ----------------------------------------------------------------------------------
+
+void HubSync::recordReplicaEnd(const prompts::ReplicaEnd& end)
+{
+    BootTime now = BootClock::now();
+    prompts::ReplicaEnd own = end;
+    std::erase_if(own.parts, [&](const std::string& part) {
+        return prompts::settledContains(m_parts.ledger.settled, { own.service, part }, now);
+    });
+    if (own.parts.empty())
+        return;
+    m_parts.recentEnds.push_back({ own, ++m_parts.lastSequence });
+    while (m_parts.recentEnds.size() > maxRecentEnds
+        || now - m_parts.recentEnds.front().end.observedAt > prompts::observationMemory)
+        m_parts.recentEnds.pop_front();
+    if (!m_term.isHeld)
+        return requestSync();
+    applyPartChanges(prompts::ledgerRecordEnd(m_parts.ledger, own, now), now);
+}
+
+void HubSync::recordSettledParts(const std::string& service, const std::vector<std::string>& parts)
+{
+    BootTime now = BootClock::now();
+    for (const std::string& part : parts) {
+        PartKey key { service, part };
+        if (m_term.isHeld) {
+            applyPartChanges(prompts::ledgerRecordSettled(m_parts.ledger, key, now), now);
+            continue;
+        }
+        prompts::settledRecord(m_parts.ledger.settled, key, now);
+        if (m_parts.view.suspected.contains(key) || m_parts.view.blocked.contains(key))
+            requestSync();
+    }
+}
+
+size_t HubSync::blockedPartCount() const
+{
+    BootTime now = BootClock::now();
+    auto count = std::count_if(m_parts.view.blocked.begin(), m_parts.view.blocked.end(),
+        [&](const auto& item) { return now < item.second.until; });
+    return static_cast<size_t>(count);
+}
+
+// ---- The hub -----------------------------------------------------------------------------------
+
+void HubSync::applyPartChanges(const std::vector<prompts::PartChange>& changes, BootTime now)
+{
+    for (const prompts::PartChange& change : changes) {
+        bool isBlocked = change.kind == prompts::PartChangeKind::Blocked;
+        const char* event = isBlocked                           ? "part.accused"
+            : change.kind == prompts::PartChangeKind::Suspected ? "part.suspected"
+                                                                : "part.cleared";
+        base::logEvent(isBlocked ? LogLevel::Warning : LogLevel::Info, event,
+            { { "part", change.key.part }, { "service", change.key.service }, { "why", change.reason },
+                { "ends", change.ends.size() }, { "replicas", endsText(change.ends, now) },
+                { "blocks", change.block.count },
+                { "blocked_ms", isBlocked ? ageMillis(change.block.until, now) : 0 } });
+        if (isBlocked)
+            base::counterAdd("prompt_parts_blocked_total");
+    }
+    refreshPartView();
+}
+
+// Updates the view after a change of the ledger, and tells subscribers if blocks have changed.
+void HubSync::refreshPartView()
+{
+    if (m_parts.view.version == m_parts.ledger.version)
+        return;
+    prompts::PartView view = prompts::ledgerView(m_parts.ledger);
+    bool hasNewBlocks = view.blocked.size() != m_parts.view.blocked.size()
+        || !std::equal(view.blocked.begin(), view.blocked.end(), m_parts.view.blocked.begin(),
+            [](const auto& a, const auto& b) { return a.first == b.first && a.second.until == b.second.until; });
+    if (!m_term.isHeld)
+        view.suspected = std::move(m_parts.view.suspected);
+    m_parts.view = std::move(view);
+    if (hasNewBlocks)
+        notifySubscribers();
+}
+
+void HubSync::advanceParts(BootTime now)
+{
+    if (!m_term.isHeld || (m_parts.ledger.suspected.empty() && m_parts.ledger.blocked.empty()))
+        return;
+    auto lastReport = [this](const prompts::ReplicaLife& life) -> std::optional<BootTime> {
+        auto found = m_directory.replicas.find(life.replica);
+        if (found == m_directory.replicas.end() || !found->second.hasReport
+            || found->second.report.startedAtMillis != life.startedAtMillis)
+            return std::nullopt;
+        return found->second.reportRequestedAt;
+    };
+    applyPartChanges(prompts::ledgerAdvance(m_parts.ledger, lastReport, now), now);
+}
+
+// A new hub begins with the blocks that it knew as a member, and with its own ends. The members send theirs again.
+void HubSync::takeOverParts(BootTime now)
+{
+    m_parts.ledger.suspected.clear();
+    ++m_parts.ledger.version;
+    for (const PartSync::SentEnd& sent : m_parts.recentEnds) {
+        if (now - sent.end.observedAt <= prompts::observationMemory)
+            applyPartChanges(prompts::ledgerRecordEnd(m_parts.ledger, sent.end, now), now);
+    }
+    refreshPartView();
+}
+
+void HubSync::applyMemberParts(const Json& body, BootTime now)
+{
+    if (body.contains("settled_parts")) {
+        for (const Json& row : body.at("settled_parts"))
+            applyPartChanges(prompts::ledgerRecordSettled(m_parts.ledger, keyOf(row), now), now);
+    }
+    if (body.contains("replica_ends")) {
+        for (const Json& row : body.at("replica_ends")) {
+            prompts::ReplicaEnd end;
+            end.life = { row.at(0).get<std::string>(), row.at(1).get<int64_t>() };
+            end.observedAt = now - base::Millis(row.at(2).get<int64_t>());
+            end.service = row.at(3).get<std::string>();
+            end.parts = row.at(4).get<std::vector<std::string>>();
+            applyPartChanges(prompts::ledgerRecordEnd(m_parts.ledger, end, now), now);
+        }
+    }
+    advanceParts(now);
+}
+
+void HubSync::addPartsToReply(const Json& asked, Json& reply, BootTime now) const
+{
+    const prompts::PartView& view = m_parts.view;
+    bool isSameHub = asked.value("start", "") == m_incarnation;
+    if (isSameHub && asked.value("parts_version", uint64_t(0)) == view.version)
+        return;
+    Json suspected = Json::array();
+    for (const auto& [key, lives] : view.suspected) {
+        Json ended = Json::array();
+        for (const prompts::ReplicaLife& life : lives)
+            ended.push_back({ life.replica, life.startedAtMillis });
+        suspected.push_back({ key.service, key.part, std::move(ended) });
+    }
+    Json blocked = Json::array();
+    for (const auto& [key, block] : view.blocked)
+        blocked.push_back({ key.service, key.part, ageMillis(block.until, now), block.count });
+    reply["parts"] = Json { { "version", view.version }, { "suspected", std::move(suspected) },
+        { "blocked", std::move(blocked) } };
+}
+
+// ---- A member ----------------------------------------------------------------------------------
+
+// Returns the sequence of the last end that the request tells of.
+uint64_t HubSync::addPartsToRequest(Json& body, BootTime now)
+{
+    body["parts_version"] = m_parts.hubVersion;
+    Json ends = Json::array();
+    for (const auto& [end, sequence] : m_parts.recentEnds) {
+        if (sequence > m_parts.toldSequence && now - end.observedAt <= prompts::observationMemory)
+            ends.push_back(
+                { end.life.replica, end.life.startedAtMillis, ageMillis(now, end.observedAt), end.service, end.parts });
+    }
+    if (!ends.empty())
+        body["replica_ends"] = std::move(ends);
+    Json settled = Json::array();
+    auto addSettled = [&](const PartKey& key) {
+        if (prompts::settledContains(m_parts.ledger.settled, key, now))
+            settled.push_back({ key.service, key.part });
+    };
+    for (const auto& [key, lives] : m_parts.view.suspected)
+        addSettled(key);
+    for (const auto& [key, block] : m_parts.view.blocked)
+        addSettled(key);
+    if (!settled.empty())
+        body["settled_parts"] = std::move(settled);
+    return m_parts.lastSequence;
+}
+
+void HubSync::applyPartsReply(const Json& body, BootTime requestedAt, uint64_t sentSequence, bool isHub)
+{
+    if (isHub) {
+        std::string incarnation = body.at("start").get<std::string>();
+        if (incarnation == m_parts.toldIncarnation)
+            m_parts.toldSequence = sentSequence;
+        else {
+            // Another hub: it needs the ends that the previous one was told of.
+            m_parts.toldSequence = 0;
+            m_parts.toldIncarnation = incarnation;
+            if (!m_parts.recentEnds.empty())
+                requestSync();
+        }
+    }
+    if (!body.contains("parts"))
+        return;
+    const Json& parts = body.at("parts");
+    std::map<PartKey, prompts::PartBlock> blocked;
+    for (const Json& row : parts.at("blocked"))
+        blocked[keyOf(row)] = { requestedAt + base::Millis(row.at(2).get<int64_t>()), row.at(3).get<int>(), {}, 0 };
+    if (!isHub) {
+        for (const auto& [key, block] : blocked)
+            prompts::ledgerBlock(m_parts.ledger, key, block);
+        return refreshPartView();
+    }
+    std::map<PartKey, std::vector<prompts::ReplicaLife>> suspected;
+    for (const Json& row : parts.at("suspected")) {
+        std::vector<prompts::ReplicaLife>& lives = suspected[keyOf(row)];
+        for (const Json& life : row.at(2))
+            lives.push_back({ life.at(0).get<std::string>(), life.at(1).get<int64_t>() });
+    }
+    m_parts.hubVersion = parts.at("version").get<uint64_t>();
+    m_parts.ledger.suspected.clear();
+    m_parts.ledger.blocked = std::move(blocked);
+    ++m_parts.ledger.version;
+    m_parts.view.suspected = std::move(suspected);
+    refreshPartView();
+    BootTime now = BootClock::now();
+    for (const auto& [key, lives] : m_parts.view.suspected) {
+        if (prompts::settledContains(m_parts.ledger.settled, key, now))
+            return requestSync();
+    }
+}
+
+// ---- The store ---------------------------------------------------------------------------------
+
+// `entry`: the record, or null if the store has none.
+void HubSync::applyStoredParts(const coordination::KvEntry* entry, BootTime requestedAt)
+{
+    int64_t revision = entry ? entry->modRevision : 0;
+    if (revision == m_parts.storedRevision || requestedAt < m_parts.storeWrittenAt)
+        return;
+    BootTime now = BootClock::now();
+    std::map<PartKey, prompts::PartBlock> blocks;
+    if (entry)
+        blocks = readStoredBlocks(entry->value, now);
+    for (const auto& [key, count] : m_parts.stored) {
+        if (!blocks.contains(key))
+            applyPartChanges(prompts::ledgerUnblock(m_parts.ledger, key), now);
+    }
+    m_parts.stored.clear();
+    for (const auto& [key, block] : blocks) {
+        m_parts.stored[key] = block.count;
+        prompts::ledgerBlock(m_parts.ledger, key, block);
+    }
+    m_parts.storedRevision = revision;
+    refreshPartView();
+}
+
+// Writes the blocks to the store if it has others. Only while this daemon's hub record stands, as a successor may know
+// better. Suspends.
+void HubSync::storeParts()
+{
+    BootTime now = BootClock::now();
+    if (!m_term.isHeld || termIsOver(m_term, now))
+        return;
+    std::map<PartKey, int> counts;
+    Json rows = Json::array();
+    for (const auto& [key, block] : m_parts.ledger.blocked) {
+        counts[key] = block.count;
+        base::Millis until = unixNow() + base::Millis(ageMillis(block.until, now));
+        rows.push_back(Json { { "service", key.service }, { "part", key.part }, { "until_ms", until.count() },
+            { "blocks", block.count } });
+    }
+    if (counts == m_parts.stored)
+        return;
+    auto written = m_kv.txn({ { partsKey, m_parts.storedRevision }, { hubKey, m_term.fencingToken } },
+        { { partsKey, Json { { "parts", std::move(rows) } }.dump(), 0 } });
+    // A write whose outcome is unknown shows at the next read.
+    if (written.error != coordination::KvError::None || !written.isApplied)
+        return;
+    m_parts.stored = std::move(counts);
+    m_parts.storedRevision = written.revision;
+    m_parts.storeWrittenAt = BootClock::now();
+}
+
+} // namespace rattanshunt::hub
--- /dev/null
+++ b/src/hub/PartSync.h
@@ -0,0 +1,33 @@
+// What a daemon knows of prompt parts that end replicas, and of it what the hub and the store know.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "prompts/PartLedger.h"
+
+namespace rattanshunt::hub {
+
+inline constexpr size_t maxRecentEnds = 256; // of this daemon, that it can tell a new hub
+
+struct PartSync {
+    struct SentEnd {
+        prompts::ReplicaEnd end;
+        uint64_t sequence = 0;
+    };
+
+    prompts::PartLedger ledger;             // at a member: its own settled parts, and the blocks as sent by the hub
+    prompts::PartView view;                 // at a member: the suspected parts as sent by the hub
+    uint64_t hubVersion = 0;                // of the hub's view, as last sent
+    std::deque<SentEnd> recentEnds;         // of this daemon, oldest first
+    uint64_t lastSequence = 0;              // of recentEnds
+    uint64_t toldSequence = 0;              // the hub has been told of the ends up to this one
+    std::string toldIncarnation;            // of that hub
+    std::map<prompts::PartKey, int> stored; // blocks by part, as last seen in the store
+    int64_t storedRevision = 0;             // 0: the key does not exist
+    base::BootTime storeWrittenAt {};       // when this daemon's last write was answered
+};
+
+} // namespace rattanshunt::hub
--- a/src/prompts/PartLedger.h
+++ b/src/prompts/PartLedger.h
@@ -24,6 +24,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -53,7 +54,8 @@
     std::string service;
     std::string part;
 
-    auto operator<=>(const PartKey&) const = default;
+    bool operator<(const PartKey& other) const { return std::tie(service, part) < std::tie(other.service, other.part); }
+    bool operator==(const PartKey&) const = default;
 };
 
 // One process of a replica: a restart begins another life under the same identifier.
@@ -61,7 +63,7 @@
     std::string replica;
     int64_t startedAtMillis = 0;
 
-    auto operator<=>(const ReplicaLife&) const = default;
+    bool operator==(const ReplicaLife&) const = default;
 };
 
 // An attempt whose connection ended at the replica's side before its answer had settled.
