--- a/lab/ExplorerPromptParts.cpp
+++ b/lab/ExplorerPromptParts.cpp
@@ -15,6 +15,7 @@
     using prompts::PartKey;
     using prompts::ReplicaEnd;
     using prompts::ReplicaLife;
+    using LifeKey = std::pair<std::string, int64_t>;
 
     constexpr const char* service = "engine";
     constexpr const char* sharedPart = "shared"; // in every request; answers settle it
@@ -117,6 +118,7 @@
         };
 
         static PartKey keyOf(const std::string& part) { return { service, part }; }
+        static LifeKey keyOf(const ReplicaLife& life) { return { life.replica, life.startedAtMillis }; }
         static std::string endKey(const ReplicaEnd& end)
         {
             return fmt::format("{}.{}@{}:{}", end.life.replica, end.life.startedAtMillis, end.parts.back(),
@@ -145,9 +147,9 @@
                 observe(life, cutPart);
             // Nobody can tell a connection that is cut shortly before the end from one that ends with the replica.
             for (const ReplicaEnd& end : m_observed) {
-                if (end.life == life && end.observedAt > m_reportedAt[life]) {
+                if (end.life == life && end.observedAt > m_reportedAt[keyOf(life)]) {
                     for (const std::string& ended : end.parts)
-                        m_endedLives[ended].insert(life);
+                        m_endedLives[ended].insert(keyOf(life));
                 }
             }
             ++m_starts[replica];
@@ -186,9 +188,9 @@
             ++m_tickCount;
             m_wasReportLost = areReportsLost;
             for (size_t replica = 0; replica < replicaCount && !areReportsLost; ++replica)
-                m_reportedAt[lifeOf(replica)] = m_now;
+                m_reportedAt[keyOf(lifeOf(replica))] = m_now;
             prompts::LastReport lastReport = [this](const ReplicaLife& life) -> std::optional<base::BootTime> {
-                auto found = m_reportedAt.find(life);
+                auto found = m_reportedAt.find(keyOf(life));
                 if (found == m_reportedAt.end() || m_removedSafeguard == Safeguard::ReportVoidsEnd)
                     return std::nullopt;
                 return found->second;
@@ -237,10 +239,10 @@
         base::BootTime m_now = explorerTimeAt(0);
         base::BootTime m_lastEndAt {};
         std::array<int64_t, replicaCount> m_starts {};
-        std::map<std::string, std::set<ReplicaLife>> m_endedLives; // by part; what has really happened
-        std::vector<Message> m_messages;                           // under way to the hub
-        std::vector<ReplicaEnd> m_observed;                        // as the daemons remember
-        std::map<ReplicaLife, base::BootTime> m_reportedAt;
+        std::map<std::string, std::set<LifeKey>> m_endedLives; // by part; what has really happened
+        std::vector<Message> m_messages;                       // under way to the hub
+        std::vector<ReplicaEnd> m_observed;                    // as the daemons remember
+        std::map<LifeKey, base::BootTime> m_reportedAt;
         prompts::PartLedger m_ledger;
         prompts::PartView m_view; // of every daemon
         bool m_wasReportLost = false;
