--- a/src/prompts/PartLedger.h
+++ b/src/prompts/PartLedger.h
@@ -63,6 +63,10 @@
     std::string replica;
     int64_t startedAtMillis = 0;
 
+    bool operator<(const ReplicaLife& other) const
+    {
+        return std::tie(replica, startedAtMillis) < std::tie(other.replica, other.startedAtMillis);
+    }
     bool operator==(const ReplicaLife&) const = default;
 };
 
