Show that a loss of power blocks a part that never settled

All replicas end for another reason while the first requests with their parts are in progress. The ends count against every part, the shared first one too, and no answer has settled any: 0 of 20 requests begin from 6 s later, as all of them are refused for the 600 s of the block.

--- a/tests/InnocentPromptPartTests.cpp
+++ b/tests/InnocentPromptPartTests.cpp
@@ -64,3 +64,22 @@
         cr_expect_eq(begun, 20, "%zu of 20 requests with the part began", begun);
     });
 }
+
+// The first requests of a day, or the first with a new part, are in progress when all replicas end for another reason.
+Test(crashing_prompt_part, a_part_that_never_settled_is_served_after_a_loss_of_power, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CrashingPartFixture fixture(loop, {});
+        for (ReplicaStandIn* replica : fixture.replicas)
+            replica->setProcessingTime(base::Millis(100));
+        for (size_t i = 0; i < 36; ++i)
+            fixture.sendSound(i % fixture.gateways.size(), "aa:20,beef:20");
+        net::sleepFor(base::Millis(150));
+        for (ReplicaStandIn* replica : fixture.replicas)
+            replica->crash();
+        cr_assert_geq(fixture.crashesWithOthers(base::Millis(500)), 3);
+        net::sleepFor(2 * contactTime);
+        size_t begun = fixture.countBegun(20, "aa:20,beef:20");
+        cr_expect_geq(begun, 10, "%zu of 20 requests with the part began", begun);
+    });
+}
