Test answers that end with their connection, on both request paths

Nothing tested the good direction, and only one case ("no length, reset") tested the other.

Checked: net/HttpClient (Beast ends such a body at FIN only; any other error is Closed; it is never kept alive), gateway/RequestContext (a partial event at the end is Unknown), entry/ServeRoute and ServeCompletion (an engine's stream needs its end mark, JSON must parse).

The fixtures move to headers of their own, unchanged but for a hook of EngineFixture.

--- a/tests/AnswerIntegrityTests.cpp
+++ b/tests/AnswerIntegrityTests.cpp
@@ -1,11 +1,13 @@
 // What operators of similar systems were hit by, tried on both request paths: late copies of answers on connections in
 // use again, slow and stalled streams, lost answers, hand-overs between two hubs, answers that break off.
-#include "ByteStandIn.h"
+#include "ByteFleet.h"
 #include "FaultProxy.h"
 #include "GatewayFixture.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::lab;
+using tests::ByteFleet;
+using tests::requestIdOf;
 
 namespace {
 
@@ -16,59 +18,6 @@
         hasId ? "Request-Id: " + id + "\r\n" : "", body.size(), body);
 }
 
-std::string requestIdOf(const net::HttpRequest& request)
-{
-    return std::string(net::httpHeader(request.headers, "Request-Id"));
-}
-
-// Byte stand-ins as replicas of one service, and one gateway that knows them.
-struct ByteFleet {
-    net::Loop& loop;
-    GatewayFleet fleet;
-    std::vector<std::unique_ptr<ByteStandIn>> replicas;
-    LabGateway* gateway = nullptr;
-    std::map<std::string, int> runsById;
-
-    ByteFleet(net::Loop& testLoop, const std::string& service, size_t count, const ByteScript& script)
-        : loop(testLoop)
-        , fleet(testLoop)
-    {
-        fleet.configure(labConfiguration(1));
-        for (size_t i = 0; i < count; ++i) {
-            replicas.push_back(std::make_unique<ByteStandIn>(
-                loop, [this, script](ByteConnection& connection, const net::HttpRequest& request) {
-                    if (request.target == "/rattanshunt/report")
-                        return connection.close();
-                    ++runsById[requestIdOf(request)];
-                    script(connection, request);
-                }));
-            std::string error;
-            cr_assert(replicas.back()->listen(error), "%s", error.c_str());
-            fleet.store().put(
-                fmt::format("servers/i-{}", i), byteReplicaEntry(service, replicas.back()->address(), { "m1" }));
-        }
-        gateway = &fleet.addGateway("g0");
-        cr_assert(fleet.waitReady());
-        while (gateway->hubSync.directory().replicas.size() < count)
-            net::sleepFor(base::Millis(10));
-    }
-    ~ByteFleet()
-    {
-        for (auto& replica : replicas)
-            replica->stop();
-        fleet.stop();
-    }
-    CallerResponse call(const std::string& path, const std::string& id, base::Millis timeLeft = base::Millis(3000))
-    {
-        net::HttpRequest request = labRequest(path, id, "m1");
-        for (net::HttpHeader& header : request.headers) {
-            if (header.name == "Deadline-Ms")
-                header.value = std::to_string(timeLeft.count());
-        }
-        return fleet.call(*gateway, request);
-    }
-};
-
 } // namespace
 
 // ---- Late copies --------------------------------------------------------------------------------
