Keep the buffer of a response within its size limit while it grows

A replica that sends a body without end made its attempt hold up to twice the limit of a response: the string doubled its capacity first, and the daemon's allowance was asked afterwards. What the last doubling took was not accounted for at all, and the buffer lived on until the next attempt ended. Callers saw nothing of it; the memory bound of the daemon was not the one that its constants name.

Ruled out: the length that a response announces reserves nothing, and reads are at most 64 KB.

The share of a response now grows its buffer itself, to twice its size or to the limit, after the allowance has granted it. endless_response/a_response_that_is_given_up_never_took_more_memory_than_the_limit guards the accounting. A response of exactly the limit passes as before.

--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -59,11 +59,13 @@
     HttpCallError readBody(RequestContext& request, std::string& body, ResponseMemoryShare& memory)
     {
         bool isEnd = false;
+        std::string piece;
         while (!isEnd) {
-            HttpCallError error = request.connection->readSome(body, isEnd, steadyDeadline(request));
+            piece.clear();
+            HttpCallError error = request.connection->readSome(piece, isEnd, steadyDeadline(request));
             if (error != HttpCallError::None)
                 return error;
-            if (!memory.resize(body.capacity())) {
+            if (!memory.append(body, piece)) {
                 base::counterAdd("replica_answers_too_large_total");
                 return HttpCallError::Malformed;
             }
--- a/src/gateway/ResponseMemory.h
+++ b/src/gateway/ResponseMemory.h
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace rattanshunt::gateway {
@@ -62,6 +64,27 @@
         return true;
     }
 
+    // Appends to the response's buffer, which grows within the limits. False, with `buffer` unchanged, if the response
+    // must be given up. Precondition: as of resize(); the share belongs to `buffer`.
+    bool append(std::string& buffer, std::string_view bytes)
+    {
+        size_t size = buffer.size() + bytes.size();
+        size_t capacity = buffer.capacity();
+        if (size > capacity)
+            capacity = std::max(size, std::min(2 * capacity, m_memory->options.maxBytes));
+        if (!resize(capacity))
+            return false;
+        if (capacity > buffer.capacity()) {
+            // reserve() of a string that is not empty may take twice its capacity.
+            std::string grown;
+            grown.reserve(capacity);
+            grown += buffer;
+            buffer = std::move(grown);
+        }
+        buffer += bytes;
+        return true;
+    }
+
 private:
     ResponseMemory* m_memory = nullptr;
     size_t m_bytes = 0;
--- a/tests/CloseDelimitedTests.cpp
+++ b/tests/CloseDelimitedTests.cpp
@@ -84,14 +84,20 @@
 }
 
 // A body that is cut at the size limit would look complete to the caller.
-Test(close_delimited, an_answer_without_length_over_the_size_limit_is_not_cut_to_it, .timeout = 60)
+Test(close_delimited, an_answer_without_length_is_delivered_up_to_the_size_limit_and_not_cut_to_it, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
-        ByteFleet bytes(loop, "plain", 1, [](ByteConnection& connection, const net::HttpRequest& request) {
+        size_t limit = gateway::ResponseMemoryOptions().maxBytes;
+        size_t size = limit;
+        ByteFleet bytes(loop, "plain", 1, [&](ByteConnection& connection, const net::HttpRequest& request) {
             connection.send(headWithoutLength(request));
-            connection.send(std::string(gateway::ResponseMemoryOptions().maxBytes + 1, 'x'));
+            connection.send(std::string(size, 'x'));
             connection.close();
         });
+        CallerResponse full = bytes.call("/once/", "full");
+        cr_expect_eq(full.status, 200, "status %d", full.status);
+        cr_expect_eq(full.body.size(), limit);
+        size = limit + 1;
         CallerResponse response = bytes.call("/once/", "large");
         cr_expect_eq(response.status, 502);
         cr_expect_eq(bytes.runsById["large"], 1);
--- a/tests/EndlessResponseTests.cpp
+++ b/tests/EndlessResponseTests.cpp
@@ -1,6 +1,7 @@
 // Replicas and engines that send bytes without end, in a head or a body, until the caller closes. An attempt ends at
 // its deadline or at a size limit, keeps bounded memory, never counts as complete, and is never said not to have run.
 #include <fstream>
+#include <random>
 
 #include "ByteStandIn.h"
 #include "GatewayFixture.h"
@@ -155,3 +156,33 @@
         cr_expect_lt(peakResidentBytes(), maxPeakBytes, "peak of %zu MB", peakResidentBytes() >> 20);
     });
 }
+
+// Two responses that grow in turn until one is given up: their buffers stay within the limits, and are accounted for.
+Test(endless_response, a_response_that_is_given_up_never_took_more_memory_than_the_limit, .timeout = 30)
+{
+    gateway::ResponseMemory memory;
+    const gateway::ResponseMemoryOptions& options = memory.options;
+    std::mt19937 random(7);
+    for (int round = 0; round < 20; ++round) {
+        gateway::ResponseMemoryShare shares[2]
+            = { gateway::ResponseMemoryShare(memory), gateway::ResponseMemoryShare(memory) };
+        std::string buffers[2];
+        size_t expected[2] = { 0, 0 };
+        for (size_t i = 0;; i ^= 1) {
+            std::string piece(1 + random() % options.grantedBytes, 'x');
+            bool isWithin = shares[i].append(buffers[i], piece);
+            expected[i] += isWithin ? piece.size() : 0;
+            cr_assert_eq(buffers[i].size(), expected[i]);
+            cr_assert_leq(buffers[i].capacity(), options.maxBytes);
+            size_t held = 0;
+            for (const std::string& buffer : buffers)
+                held += std::max(buffer.capacity(), options.grantedBytes) - options.grantedBytes;
+            cr_assert_eq(memory.sharedBytes, held);
+            if (!isWithin) {
+                cr_assert_gt(buffers[i].size() + piece.size(), options.maxBytes);
+                break;
+            }
+        }
+    }
+    cr_assert_eq(memory.sharedBytes, 0);
+}
