Fuzz the bytes that replicas and engines send as a response

The target "response" sends one gateway attempt a generated response (length, chunks with extensions and trailers, or until close; plain or a stream of events) that is cut at any point, mutated or followed by bytes without end, in pieces; its connection ends in order, is reset or stays open. The attempt must end by its deadline, hold bounded memory, deliver a whole response unchanged, take nothing incomplete as complete, and say "not executed" only if the replica did. The target "completion" divides an engine's events into reads at random.

--- a/lab/Fuzz.cpp
+++ b/lab/Fuzz.cpp
@@ -8,6 +8,7 @@
 
 #include "GatewayFleet.h"
 #include "base/Text.h"
+#include "endpoints/EngineStream.h"
 #include "gateway/ServerSentEvents.h"
 #include "platform/PlatformCodec.h"
 
@@ -131,6 +132,38 @@
             : "";
     }
 
+    // The same of an engine's completion, of which events that are not the request's must not be passed on.
+    std::string fuzzCompletion(const gateway::WireCodec&, std::string& input, Random& random)
+    {
+        for (int i = 0; i < 6; ++i)
+            input += fmt::format("data: {{\"id\":\"id-1\",\"choices\":[{{\"index\":0,\"text\":\"w{} \"}}],"
+                                 "\"usage\":{{\"prompt_tokens\":3,\"completion_tokens\":{}}}}}\n\n",
+                i, i);
+        input = mutate(input + "data: [DONE]\n\n", random);
+        endpoints::EngineStream whole;
+        whole.requestId = "id-1";
+        std::string wholeEvents = endpoints::engineStreamFeed(whole, input);
+        endpoints::EngineStream chunked;
+        chunked.requestId = "id-1";
+        std::string chunkedEvents;
+        for (size_t position = 0; position < input.size();) {
+            size_t length = std::min<size_t>(1 + random() % 40, input.size() - position);
+            chunkedEvents += endpoints::engineStreamFeed(chunked, std::string_view(input).substr(position, length));
+            position += length;
+        }
+        if (chunkedEvents != wholeEvents || chunked.isDone != whole.isDone || chunked.outputTokens != whole.outputTokens
+            || chunked.hasForeignEvent != whole.hasForeignEvent || chunked.usageTokens != whole.usageTokens)
+            return "events depend on how the bytes are divided into reads";
+        if (wholeEvents + whole.partialEvent != input)
+            return "events and the incomplete one are not what was received";
+        if (whole.isDone && wholeEvents.find("[DONE]") == std::string::npos)
+            return "complete without an end mark";
+        if (!std::isfinite(whole.usageTokens) || whole.usageTokens < 0)
+            return "the usage is negative or not finite";
+        endpoints::engineEventsText(wholeEvents);
+        return "";
+    }
+
     std::string fuzzEntry(const gateway::WireCodec& codec, std::string& input, Random& random)
     {
         input = mutate(R"({"service":"engine","address":"10.0.0.1:80","zone":"z","slots":8,"state":"draining",)"
@@ -180,9 +213,9 @@
 
     const std::map<std::string, FuzzTarget>& targetTable()
     {
-        static const std::map<std::string, FuzzTarget> list
-            = { { "head", fuzzRequestHead }, { "answer", fuzzResponseHead }, { "events", fuzzEvents },
-                  { "entry", fuzzEntry }, { "report", fuzzReport }, { "configuration", fuzzConfiguration } };
+        static const std::map<std::string, FuzzTarget> list = { { "head", fuzzRequestHead },
+            { "answer", fuzzResponseHead }, { "events", fuzzEvents }, { "completion", fuzzCompletion },
+            { "entry", fuzzEntry }, { "report", fuzzReport }, { "configuration", fuzzConfiguration } };
         return list;
     }
 
--- a/lab/Fuzz.h
+++ b/lab/Fuzz.h
@@ -1,4 +1,4 @@
-// Fuzzer for the decoders of the platform's messages and records.
+// Fuzzer for the decoders of the messages and records of the platform and of engines.
 //
 // Contents
 //   [1] Fuzzing         FuzzResult, fuzzTargets(), fuzzRun()
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -18,6 +18,7 @@
 #include "Golden.h"
 #include "Load.h"
 #include "PlatformStandIn.h"
+#include "ResponseFuzz.h"
 #include "Scenario.h"
 #include "ServiceStandIn.h"
 #include "Soak.h"
@@ -281,10 +282,13 @@
 }
 
 // Fuzzes all targets, or those named, for --seconds each.
-int runFuzz(net::Loop&)
+int runFuzz(net::Loop& loop)
 {
     constexpr uint64_t inputsPerRound = 20000;
+    constexpr uint64_t responsesPerRound = 1000;
+    const std::string responseTarget = "response";
     std::vector<std::string> known = lab::fuzzTargets();
+    known.push_back(responseTarget);
     int failed = 0;
     for (const std::string& target : s_arguments.empty() ? known : s_arguments) {
         if (std::find(known.begin(), known.end(), target) == known.end()) {
@@ -297,7 +301,8 @@
         lab::FuzzResult result;
         uint64_t inputs = 0;
         while (result.finding.empty() && base::Clock::now() < end) {
-            result = lab::fuzzRun(target, seed, inputsPerRound);
+            result = target == responseTarget ? lab::fuzzResponses(loop, seed, responsesPerRound)
+                                              : lab::fuzzRun(target, seed, inputsPerRound);
             inputs += result.inputCount;
             seed += result.finding.empty();
         }
