Log the limits that replicas name and the calls that they get afterwards

The header Server-Limit is decoded, logged as replica.limit_named when it changes, and counts for nothing yet. replica.limited_call names each request, report and order that goes to a replica whose last response to this daemon named a limit, and request.end names the replica. With these lines the two hypotheses of docs/incidents/server-limit.md can be told apart: requests of callers alone, or the hub's reports and orders too. The simulated replica names limits and records what arrives.

--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -54,6 +54,9 @@
     // A stream whose prompt holds one of these parts, except as its last part, crashes the replica.
     std::set<std::string> crashingParts {};
     int eventsBeforeCrash = 0;
+    std::vector<std::string> namedLimits {}; // values of the Server-Limit headers of its responses
+    int namesLimitEveryNth = 1;              // responses between two that carry them
+    bool namesLimitInReports = false;        // also in the answers to reports
 };
 
 struct RequestExecution {
@@ -73,6 +76,13 @@
     base::TimePoint at {};
 };
 
+// A request, report or order that reached the replica.
+struct ReplicaArrival {
+    base::TimePoint at {};
+    std::string requestId;                  // empty: a report or an order
+    std::optional<base::TimePoint> namedAt; // when the head of its response named a limit
+};
+
 // Something that happened because of a prompt part.
 struct PartEvent {
     base::TimePoint at {};
@@ -84,6 +94,7 @@
     std::vector<AcceptedOrder> acceptedOrders;
     int refusedOrderCount = 0;
     bool wasOvercommitted = false; // was ordered to load more than fits
+    std::vector<ReplicaArrival> arrivals;
     std::vector<PartEvent> crashes;
     std::vector<PartEvent> crashingArrivals; // of requests with a crashing part, executed or not
     std::map<std::string, int> executionsByRequest() const;
--- a/lab/ReplicaStandInImpl.h
+++ b/lab/ReplicaStandInImpl.h
@@ -24,6 +24,7 @@
     int64_t ordersAccepted = 0;
     int64_t highestFencingToken = 0;
     int runningRequests = 0;
+    int responseCount = 0;
     std::map<std::string, int> runningByModel; // by MODEL or MODEL/ADAPTER
     int64_t startedAtMillis = 1700000000000;
     std::vector<std::pair<base::TimePoint, base::TimePoint>> drainPeriods;
@@ -57,11 +58,13 @@
     void handleRequest(net::HttpExchange& exchange)
     {
         const net::HttpRequest& request = exchange.request();
+        std::string requestId(net::httpHeader(request.headers, "Request-Id"));
+        history.arrivals.push_back({ base::Clock::now(), requestId, std::nullopt });
         if (request.target == "/rattanshunt/report") {
             nlohmann::json disk = nlohmann::json::array();
             for (auto& [model, size] : options.modelSizesMb)
                 disk.push_back(model);
-            exchange.respond({ 200, {},
+            exchange.respond({ 200, faults.namesLimitInReports ? limitHeaders("") : std::vector<net::HttpHeader> {},
                 nlohmann::json { { "stage", "combined" }, { "models", modelsJson() }, { "busy", !loadingModel.empty() },
                     { "sequence", ordersAccepted }, { "waiting", 0 }, { "running", runningRequests }, { "kvUsed", 0 },
                     { "kvTotal", 1000 }, { "born", startedAtMillis },
@@ -108,10 +111,28 @@
         return faults.fault;
     }
 
-    std::vector<net::HttpHeader> responseHeaders(const std::string& id) const
+    // The limits that the next response names. Records that it names them.
+    std::vector<net::HttpHeader> limitHeaders(const std::string& requestId)
     {
-        return { { "Request-Id", id }, { "Server-Seal", replicaSeal },
+        std::vector<net::HttpHeader> headers;
+        if (faults.namedLimits.empty() || ++responseCount % faults.namesLimitEveryNth != 0)
+            return headers;
+        for (const std::string& limit : faults.namedLimits)
+            headers.push_back({ "Server-Limit", limit });
+        for (ReplicaArrival& arrival : history.arrivals) {
+            if (!requestId.empty() && arrival.requestId == requestId)
+                arrival.namedAt = base::Clock::now();
+        }
+        return headers;
+    }
+
+    std::vector<net::HttpHeader> responseHeaders(const std::string& id)
+    {
+        std::vector<net::HttpHeader> headers { { "Request-Id", id }, { "Server-Seal", replicaSeal },
             { "Server-Load", fmt::format("{},0,{}", runningRequests, options.batchSlots) } };
+        for (net::HttpHeader& limit : limitHeaders(id))
+            headers.push_back(std::move(limit));
+        return headers;
     }
 
     void executeRequest(net::HttpExchange& exchange)
@@ -132,7 +153,10 @@
         }
         ReplicaFault fault = nextFault();
         if (fault == ReplicaFault::Refuse) {
-            exchange.respond({ 503, { { "Not-Executed", "1" }, { "Request-Id", id } }, "" });
+            std::vector<net::HttpHeader> headers = limitHeaders(id);
+            headers.push_back({ "Not-Executed", "1" });
+            headers.push_back({ "Request-Id", id });
+            exchange.respond({ 503, headers, "" });
             return;
         }
         size_t executionIndex = history.executions.size();
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -179,7 +179,8 @@
             { "first_ms",
                 request.eventSplitter.completeEvents ? millisSince(request.firstEventAt, request.arrivedAt) : -1 },
             { "longest_gap_ms", base::millisOf(request.longestEventGap) }, { "tokens", request.tokenCost },
-            { "attempts", request.progress.attemptsMade }, { "events", request.eventSplitter.completeEvents },
+            { "attempts", request.progress.attemptsMade }, { "replica", request.lastReplicaId },
+            { "events", request.eventSplitter.completeEvents },
             { "version", request.configuration ? request.configuration->version : 0 },
             { "knowledge_age_ms", millisSince(now, m_hubSync.freshAsOf()) } });
 }
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -88,6 +88,7 @@
         double failureScore = 0;
         base::BootTime failureScoreAt {};
         base::BootTime lastSuccessAt {}; // time of the last complete response
+        NamedLimit namedLimit;           // of the last response
     };
 
     struct Refusal {
@@ -113,6 +114,7 @@
     void recordRequestEnd(const RequestContext&, int status, const char* outcome, const char* reason);
     ReplicaStats& statsOf(const directory::Replica&);
     void recordLoad(ReplicaStats&, double running, double waiting, base::BootTime reportedAt);
+    void logLimit(const RequestContext&, const std::string& replica, const NamedLimit&);
     double decayedFailureScore(ReplicaStats&, base::BootTime now) const;
     void wakeWaiting();
     void decayArrivalRates(base::BootTime now);
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -60,6 +60,17 @@
     stats.ownInFlightAtReport = ownLoadAtReport(stats.ownLoad, reportedAt, m_options.ownLoad);
 }
 
+// Logs a limit that differs from that of the replica's last response.
+void Gateway::logLimit(const RequestContext& request, const std::string& replica, const NamedLimit& limit)
+{
+    NamedLimit& known = m_replicaStats[replica].namedLimit;
+    if (known.isNamed != limit.isNamed || known.requestsPerSecond != limit.requestsPerSecond)
+        base::logEvent(LogLevel::Info, "replica.limit_named",
+            { { "replica", replica }, { "named", limit.isNamed },
+                { "per_second", limit.requestsPerSecond.value_or(-1) }, { "id", request.head.id } });
+    known = limit;
+}
+
 double Gateway::decayedFailureScore(ReplicaStats& stats, BootTime now) const
 {
     double halfLives = base::secondsOf(std::max(BootClock::duration(0), now - stats.failureScoreAt))
@@ -215,6 +226,11 @@
     request.onLoad = [this, id = entry.id](const ResponseHead::Load& load) {
         recordLoad(m_replicaStats[id], load.running, load.waiting, BootClock::now());
     };
+    request.onLimit = [this, &request, id = entry.id](const NamedLimit& limit) { logLimit(request, id, limit); };
+    request.lastReplicaId = entry.id;
+    if (m_replicaStats[entry.id].namedLimit.isNamed)
+        base::logEvent(LogLevel::Info, "replica.limited_call",
+            { { "replica", entry.id }, { "kind", "request" }, { "id", request.head.id } });
     beginPartEvidence(request);
     BootTime begunAt = BootClock::now();
     AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool, m_responseMemory);
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -163,6 +163,8 @@
         use.idleTimeout = head.idleTimeout;
         if (head.load && request.onLoad)
             request.onLoad(*head.load);
+        if (request.onLimit)
+            request.onLimit(head.limit);
         bool isEndedByClose = !isDelimited(response);
         AttemptResult result;
         if (use.wasReused && !head.isIdentified && !head.isNotExecuted) {
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -39,6 +39,7 @@
     base::BootTime deadline {};          // the caller's or the route's, whichever is earlier
     base::BootTime firstByteDeadline {}; // if the first byte has not arrived by then, the caller disconnects
     RequestProgress progress {};
+    std::string lastReplicaId {}; // to which the last attempt was made; empty: none was made
     EventSplitter eventSplitter {};
     std::string blockedPart {};                               // that the request is refused for
     std::vector<std::string> sharedParts {};                  // ids of the prompt's parts but the last
@@ -52,6 +53,7 @@
     net::HttpConnection* connection = nullptr;                // to the replica, during an attempt
     std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
     std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
+    std::function<void(const NamedLimit&)> onLimit {};        // called with what each response's head says
     std::function<bool()> mayBeSent {};                       // asked right before an attempt is sent
     std::function<void()> onSettled {}; // called when the answer to an attempt has settled, then null
     net::Event wakeEvent {};            // set when something that the request waits for may have changed
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -1,7 +1,7 @@
 // The platform's messages in the product's own types, and the functions that translate them from and to the wire.
 //
 // Contents
-//   [1] Requests        PromptSegment, RequestHead, AttemptTarget, ResponseHead
+//   [1] Requests        PromptSegment, RequestHead, AttemptTarget, NamedLimit, ResponseHead
 //   [2] Replicas        LoadedModel, ReplicaEntry, ReplicaReport, ModelOrder, OrderResult
 //   [3] Codec           WireCodec
 //
@@ -50,6 +50,12 @@
     std::string lastEventId; // resume after this event; empty: as the caller sent it
 };
 
+// The request rate that a replica accepts from all daemons together, as named in one of its responses.
+struct NamedLimit {
+    bool isNamed = false;
+    std::optional<double> requestsPerSecond; // empty although named: not a finite number of at least 0
+};
+
 struct ResponseHead {
     bool isForOtherRequest = false;           // late response to another request on the same connection
     bool isIdentified = false;                // carries the id of this request
@@ -64,6 +70,7 @@
         double slots = 0;
     };
     std::optional<Load> load;
+    NamedLimit limit;
 };
 
 // ---- [2] Replicas ------------------------------------------------------------------------------
@@ -143,6 +150,7 @@
 
     std::function<net::HttpRequest()> writeReportRequest;
     std::function<std::optional<ReplicaReport>(const net::HttpResponse&)> readReport;
+    std::function<NamedLimit(const net::HttpResponse&)> readLimit; // of any response of a replica
     std::function<net::HttpRequest(const ModelOrder&, const std::string& replica)> writeOrder;
     std::function<OrderResult(const net::HttpResponse&)> readOrderResponse;
     std::string readinessPath;
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -156,6 +156,7 @@
     state->isReportPending = true;
     state->reportRequestedAt = BootClock::now();
     BootTime requestedAt = state->reportRequestedAt;
+    logCall(id, *state, "report");
     // Removed from the state while in use: an order that is sent meanwhile opens its own connection.
     auto connection = std::move(state->connection);
     if (!connection || !connection->isReusable())
@@ -166,8 +167,10 @@
     if (result.error == net::HttpCallError::None && !state->connection)
         state->connection = std::move(connection);
     std::optional<gateway::ReplicaReport> report;
-    if (result.error == net::HttpCallError::None)
+    if (result.error == net::HttpCallError::None) {
         report = m_codec.readReport(result.response);
+        state->namesLimit = m_codec.readLimit(result.response).isNamed;
+    }
     updateReachability(id, *state, report.has_value());
     if (!report) {
         base::counterAdd("replica_reports_missing_total");
@@ -183,6 +186,12 @@
     return true;
 }
 
+void Placer::logCall(const std::string& id, const ReplicaState& state, const char* kind)
+{
+    if (state.namesLimit)
+        base::logEvent(LogLevel::Info, "replica.limited_call", { { "replica", id }, { "kind", kind } });
+}
+
 // A crashed replica does not answer, but its entry stays in the store for several heartbeats. Members are told that it
 // is unreachable, and its models are loaded elsewhere.
 void Placer::updateReachability(const std::string& id, ReplicaState& state, bool hasAnswered)
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -65,6 +65,7 @@
         std::vector<std::pair<std::string, std::string>> leaving; // models and adapters that the job unloads
         gateway::ReplicaReport report;                            // the last that arrived; it may lag behind the ledger
         std::unique_ptr<net::HttpConnection> connection;
+        bool namesLimit = false; // in its last response to this hub
     };
 
     void tick();
@@ -72,6 +73,7 @@
     void beginTerm();
     void requestDueReports(base::BootTime now);
     bool requestReport(const std::string& id);
+    static void logCall(const std::string& id, const ReplicaState&, const char* kind);
     void updateReachability(const std::string& id, ReplicaState&, bool hasAnswered);
     void planService(const gateway::Service&, const hub::DemandTable&, base::BootTime now,
         std::map<hub::ModelKey, base::BootTime>& readyEstimates);
--- a/src/models/PlacerJobs.cpp
+++ b/src/models/PlacerJobs.cpp
@@ -137,6 +137,7 @@
     if (!m_hubSync.mayOrder(BootClock::now()) || m_fencingToken != m_hubSync.fencingToken())
         return OrderResult::Superseded;
     base::counterAdd("model_orders_total");
+    logCall(id, *state, "order");
     BootTime sentAt = BootClock::now();
     ledgerOrderSent(state->ledger);
     net::HttpResult result = net::httpCall(*connection, m_codec.writeOrder(order, id), deadline, maxOrderResponseBytes);
