Keep the fleet within the request rate that a replica names

Cause: nothing read Server-Limit. Reading it at each daemon would not have been enough: with a rate of 0.5 a second one request of each of 60 daemons already exceeds what is allowed. Ruled out by arithmetic: that only requests of callers count. At most 13 of them arrived in the window in which 14 were counted, so the hub's reports (one each 60 ms while it follows an order) are taken to count too.

Change: whoever sees a limit tells the hub at once. Each attempt at a limited replica needs a permit, which the hub hands out evenly spaced at the rate and up to 1 s ahead. A daemon without a hub may use its share of half the rate. The hub asks a limited replica for a report each 2 s and gives it no orders. A request that no permit is due for in time is refused at once as replica_limited. A limit ends with the replica's process, or when three responses to later requests have not named it.

Before: server_limit/* failed with 70, 76 and 53 requests in 4 s where 14.6, 8 and 11 are allowed. After: these and the tests added here pass.

--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -185,6 +185,7 @@
             gauge("requests_under_way", static_cast<double>(m_gateway.requestsInFlight()));
             gauge("is_hub", m_hubSync.isHub() ? 1 : 0);
             gauge("members", static_cast<double>(m_hubSync.memberCount()));
+            gauge("replicas_limited", static_cast<double>(m_hubSync.limitedReplicaCount()));
             gauge("prompt_parts_blocked", static_cast<double>(m_hubSync.blockedPartCount()));
             gauge("store_reachable", m_hubSync.storeIsReachable() ? 1 : 0);
             return text;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -35,6 +35,7 @@
     base::Millis defaultRetryAfter { 300 };             // Retry-After of a refusal without an estimate
     double longPromptTokens = 2500;                     // prompts of this length delay other requests during prefill
     base::Millis maxDrainWait { 1000 };                 // for a replica, while the process is draining
+    base::Millis minPermitPause { 50 };                 // between two requests for a permit to one replica
     base::Seconds rateTimeConstant { 10 };              // for smoothing arrival rates
     WaitOptions waiting;
     base::Millis sweepInterval { 1000 };   // for closing expired idle connections
@@ -87,8 +88,16 @@
         base::BootTime reportedAt {};
         double failureScore = 0;
         base::BootTime failureScoreAt {};
-        base::BootTime lastSuccessAt {}; // time of the last complete response
-        NamedLimit namedLimit;           // of the last response
+        base::BootTime lastSuccessAt {};    // time of the last complete response
+        base::BootTime noPermitBefore {};   // a permit was denied; another one is asked for then
+        base::BootTime permitExpectedAt {}; // after a permit was denied
+    };
+
+    struct ReplicaChoice {
+        const directory::Replica* replica = nullptr; // null: none can take the request now
+        bool needsPermit = false;
+        bool hasUsable = false;                 // a replica has the model, but may be full, limited or tried already
+        std::optional<base::BootTime> permitAt; // if all others are limited: when one is expected to have a permit
     };
 
     struct Refusal {
@@ -102,8 +111,7 @@
     bool findAccount(RequestContext&);
     void runAttempts(RequestContext&);
     const directory::Replica* awaitReplica(RequestContext&, const std::set<std::string>& tried, Refusal&);
-    const directory::Replica* selectReplica(
-        RequestContext&, const std::set<std::string>& tried, bool& hasUsableReplica);
+    ReplicaChoice selectReplica(RequestContext&, const std::set<std::string>& tried);
     std::optional<base::BootTime> estimatedReadyAt(const RequestContext&) const;
     AttemptResult runAttempt(RequestContext&, const directory::Replica&);
     std::optional<Refusal> partRefusal(RequestContext&);
@@ -114,7 +122,11 @@
     void recordRequestEnd(const RequestContext&, int status, const char* outcome, const char* reason);
     ReplicaStats& statsOf(const directory::Replica&);
     void recordLoad(ReplicaStats&, double running, double waiting, base::BootTime reportedAt);
-    void logLimit(const RequestContext&, const std::string& replica, const NamedLimit&);
+    void recordLimit(const RequestContext&, const ReplicaEntry&, const NamedLimit&, base::BootTime requestedAt);
+    bool hasPermitFor(const RequestContext&, const ReplicaEntry&, base::BootTime now) const;
+    void acquirePermit(RequestContext&, const directory::Replica&);
+    void releasePermit(RequestContext&);
+    const char* findSendObstacle(RequestContext&, const ReplicaEntry&);
     double decayedFailureScore(ReplicaStats&, base::BootTime now) const;
     void wakeWaiting();
     void decayArrivalRates(base::BootTime now);
--- /dev/null
+++ b/src/gateway/GatewayLimits.cpp
@@ -0,0 +1,82 @@
+// Replicas with a limit on their request rate, in class Gateway: what responses name, and permits for attempts.
+#include "base/Counters.h"
+#include "base/Log.h"
+#include "gateway/Gateway.h"
+
+namespace rattanshunt::gateway {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+
+// Takes over what the head of a response says of its replica's rate.
+void Gateway::recordLimit(
+    const RequestContext& request, const ReplicaEntry& entry, const NamedLimit& limit, BootTime requestedAt)
+{
+    if (limit.isNamed && !limit.requestsPerSecond) {
+        base::counterAdd("replica_limits_unreadable_total");
+        base::logEvent(
+            LogLevel::Warning, "replica.limit_unreadable", { { "replica", entry.id }, { "id", request.head.id } });
+        return;
+    }
+    m_hubSync.recordLimit(
+        { entry.id, entry.startedAtMillis, limit.requestsPerSecond, requestedAt, BootClock::now(), 1 });
+}
+
+bool Gateway::hasPermitFor(const RequestContext& request, const ReplicaEntry& entry, BootTime now) const
+{
+    return request.permit && request.permit->replica == entry.id
+        && request.permit->startedAtMillis == entry.startedAtMillis && now < request.permit->expiresAt;
+}
+
+// Asks for a permit and waits for its start. Without one, the replica is left out of the next selections. Suspends, so
+// that the caller has to select again.
+void Gateway::acquirePermit(RequestContext& request, const directory::Replica& replica)
+{
+    releasePermit(request);
+    std::string id = replica.entry.id;
+    int64_t startedAtMillis = replica.entry.startedAtMillis;
+    BootTime requestedAt = BootClock::now();
+    base::Duration maxWait
+        = std::min(request.deadline, request.firstByteDeadline) - requestedAt - m_options.waiting.minServiceTime;
+    limits::PermitAnswer answer = m_hubSync.takePermit(id, startedAtMillis, maxWait);
+    if (!answer.isGranted) {
+        base::Duration pause
+            = std::max<base::Duration>(m_options.minPermitPause, answer.startsIn - limits::maxPermitWait / 2);
+        BootTime now = BootClock::now();
+        m_replicaStats[id].noPermitBefore = now + pause;
+        m_replicaStats[id].permitExpectedAt = now + answer.startsIn;
+        base::counterAdd("replica_permits_denied_total");
+        return;
+    }
+    // Counts from the call, as the machine may have been suspended meanwhile.
+    BootTime startsAt = requestedAt + std::min<base::Duration>(BootClock::now() - requestedAt, m_options.minPermitPause)
+        + answer.startsIn;
+    request.permit = ReplicaPermit { id, startedAtMillis, startsAt + limits::permitLifetime, answer.isFromHub };
+    m_waitingRequests.insert(&request);
+    while (!request.hasCallerLeft && BootClock::now() < startsAt) {
+        request.wakeEvent.reset();
+        request.wakeEvent.waitUntil(base::Clock::now() + (startsAt - BootClock::now()));
+    }
+}
+
+// Returns a permit that the request did not use.
+void Gateway::releasePermit(RequestContext& request)
+{
+    if (request.permit && request.permit->isFromHub)
+        m_hubSync.returnPermit(request.permit->replica);
+    request.permit.reset();
+}
+
+// Why an attempt must not be sent now; null if it may. Connecting to the replica may have taken long.
+const char* Gateway::findSendObstacle(RequestContext& request, const ReplicaEntry& entry)
+{
+    if (partRefusal(request))
+        return partBlockedReason;
+    BootTime now = BootClock::now();
+    if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis) && !hasPermitFor(request, entry, now))
+        return replicaLimitedReason;
+    return nullptr;
+}
+
+} // namespace rattanshunt::gateway
--- a/src/gateway/GatewayPrompts.cpp
+++ b/src/gateway/GatewayPrompts.cpp
@@ -71,7 +71,6 @@
 void Gateway::beginPartEvidence(RequestContext& request)
 {
     request.attemptFirstEventAt = {};
-    request.mayBeSent = [this, &request] { return !partRefusal(request); };
     request.onSettled = [this, &request] { m_hubSync.recordSettledParts(request.service->name, request.sharedParts); };
 }
 
@@ -80,7 +79,6 @@
 {
     bool hasEnded = hasEndedUnsettled(request, result) && !request.sharedParts.empty();
     request.onSettled = nullptr;
-    request.mayBeSent = nullptr;
     if (!hasEnded)
         return;
     base::counterAdd("prompt_part_ends_total");
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -60,17 +60,6 @@
     stats.ownInFlightAtReport = ownLoadAtReport(stats.ownLoad, reportedAt, m_options.ownLoad);
 }
 
-// Logs a limit that differs from that of the replica's last response.
-void Gateway::logLimit(const RequestContext& request, const std::string& replica, const NamedLimit& limit)
-{
-    NamedLimit& known = m_replicaStats[replica].namedLimit;
-    if (known.isNamed != limit.isNamed || known.requestsPerSecond != limit.requestsPerSecond)
-        base::logEvent(LogLevel::Info, "replica.limit_named",
-            { { "replica", replica }, { "named", limit.isNamed },
-                { "per_second", limit.requestsPerSecond.value_or(-1) }, { "id", request.head.id } });
-    known = limit;
-}
-
 double Gateway::decayedFailureScore(ReplicaStats& stats, BootTime now) const
 {
     double halfLives = base::secondsOf(std::max(BootClock::duration(0), now - stats.failureScoreAt))
@@ -80,10 +69,10 @@
     return stats.failureScore;
 }
 
-const directory::Replica* Gateway::selectReplica(
-    RequestContext& request, const std::set<std::string>& tried, bool& hasUsableReplica)
+Gateway::ReplicaChoice Gateway::selectReplica(RequestContext& request, const std::set<std::string>& tried)
 {
-    hasUsableReplica = false;
+    ReplicaChoice choice;
+    bool hasUnlimited = false;
     std::vector<ReplicaCandidate> candidates;
     std::vector<const directory::Replica*> replicas;
     BootTime now = BootClock::now();
@@ -95,11 +84,22 @@
             continue;
         if (replica.isUnreachableFromHub && now - statsOf(replica).lastSuccessAt > m_options.recentSuccessPeriod)
             continue;
-        hasUsableReplica = true;
+        choice.hasUsable = true;
         if (tried.contains(id))
             continue;
         ReplicaStats& stats = statsOf(replica);
+        bool isLimited = m_hubSync.replicaLimit(id, replica.entry.startedAtMillis).has_value();
+        hasUnlimited = hasUnlimited || !isLimited;
+        if (isLimited && hasPermitFor(request, replica.entry, now)) {
+            choice.replica = &replica;
+            return choice;
+        }
+        if (isLimited && now < stats.noPermitBefore) {
+            choice.permitAt = std::min(choice.permitAt.value_or(stats.permitExpectedAt), stats.permitExpectedAt);
+            continue;
+        }
         ReplicaCandidate candidate;
+        candidate.isLimited = isLimited;
         candidate.id = id;
         candidate.slots = replica.entry.slots;
         candidate.reportedInFlight = stats.reportedInFlight;
@@ -118,7 +118,13 @@
     selection.hasLongPrompt = request.head.promptTokens >= m_options.longPromptTokens;
     selection.modelHash = isEngine ? base::stableHash(request.head.model) | 1 : 0;
     auto chosen = replicaSelect(candidates, selection, isEngine ? m_options.engineSelection : m_options.plainSelection);
-    return chosen ? replicas[*chosen] : nullptr;
+    if (chosen) {
+        choice.replica = replicas[*chosen];
+        choice.needsPermit = candidates[*chosen].isLimited;
+    }
+    if (hasUnlimited)
+        choice.permitAt.reset();
+    return choice;
 }
 
 // The earliest time at which a replica is expected to have the model, if known.
@@ -148,8 +154,8 @@
     BootTime since = BootClock::now();
     bool hasRequestedSync = false;
     while (!request.hasCallerLeft) {
-        bool hasUsableReplica = false;
-        const directory::Replica* replica = selectReplica(request, tried, hasUsableReplica);
+        ReplicaChoice choice = selectReplica(request, tried);
+        bool hasUsableReplica = choice.hasUsable;
         BootTime now = BootClock::now();
         if (!hasFreshConfiguration(now) && !request.accountName.empty()) {
             refusal = { "configuration_stale", m_options.defaultRetryAfter };
@@ -159,10 +165,16 @@
             refusal = *partIsBlocked;
             break;
         }
-        if (replica) {
+        if (choice.needsPermit) {
+            acquirePermit(request, *choice.replica);
+            continue;
+        }
+        if (choice.replica) {
+            if (!hasPermitFor(request, choice.replica->entry, now))
+                releasePermit(request);
             m_waitingRequests.erase(&request);
             request.totalWait += now - since;
-            return replica;
+            return choice.replica;
         }
         if (m_isDraining && now - since > m_options.maxDrainWait) {
             refusal = { "stopping", m_options.waiting.minRetryAfter };
@@ -178,6 +190,8 @@
         inputs.hasTriedReplica = !tried.empty();
         inputs.hasHub = m_hubSync.hasHub();
         inputs.isForAdapter = !request.head.adapter.empty();
+        if (choice.permitAt)
+            inputs.permitIn = std::max<base::Duration>(base::Duration(0), *choice.permitAt - now);
         if (!hasUsableReplica) {
             if (auto readyAt = estimatedReadyAt(request))
                 inputs.readyIn = *readyAt - now;
@@ -188,6 +202,7 @@
                 { { "id", request.head.id }, { "why", decision.reason }, { "model", request.head.model },
                     { "is_held", hasUsableReplica },
                     { "ready_in_ms", inputs.readyIn ? base::millisOf(*inputs.readyIn) : -1 },
+                    { "permit_in_ms", inputs.permitIn ? base::millisOf(*inputs.permitIn) : -1 },
                     { "patience_left_ms", base::millisOf(inputs.firstByteTimeLeft) },
                     { "waited_ms", base::millisOf(inputs.waited) }, { "waiting_here", inputs.waitingRequests },
                     { "has_hub", inputs.hasHub },
@@ -208,6 +223,7 @@
         request.wakeEvent.waitUntil(base::Clock::now() + recheckAfter);
     }
     m_waitingRequests.erase(&request);
+    releasePermit(request);
     return nullptr;
 }
 
@@ -226,15 +242,22 @@
     request.onLoad = [this, id = entry.id](const ResponseHead::Load& load) {
         recordLoad(m_replicaStats[id], load.running, load.waiting, BootClock::now());
     };
-    request.onLimit = [this, &request, id = entry.id](const NamedLimit& limit) { logLimit(request, id, limit); };
+    beginPartEvidence(request);
+    BootTime begunAt = BootClock::now();
     request.lastReplicaId = entry.id;
-    if (m_replicaStats[entry.id].namedLimit.isNamed)
+    request.onLimit
+        = [this, &request, &entry, begunAt](const NamedLimit& limit) { recordLimit(request, entry, limit, begunAt); };
+    request.findSendObstacle = [this, &request, &entry] { return findSendObstacle(request, entry); };
+    if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis))
         base::logEvent(LogLevel::Info, "replica.limited_call",
             { { "replica", entry.id }, { "kind", "request" }, { "id", request.head.id } });
-    beginPartEvidence(request);
-    BootTime begunAt = BootClock::now();
     AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool, m_responseMemory);
     attempts::progressCountAttempt(request.progress, result.outcome);
+    request.findSendObstacle = nullptr;
+    request.onLimit = nullptr;
+    if (result.wasSent)
+        request.permit.reset();
+    releasePermit(request);
     if (request.onFirstByte)
         std::exchange(request.onFirstByte, nullptr)();
     BootTime now = BootClock::now();
--- a/src/gateway/ReplicaSelection.cpp
+++ b/src/gateway/ReplicaSelection.cpp
@@ -75,6 +75,8 @@
             * std::exp2(-base::secondsOf(candidate.reportAge) / base::secondsOf(options.waitingHalfLife));
         if (hasGroups && isForShortPrompts[i] == request.hasLongPrompt)
             cost += options.otherGroupCost;
+        if (candidate.isLimited)
+            cost += options.limitedCost;
         if (candidate.isInOtherDataCenter)
             cost += options.otherDataCenterCost;
         if (!candidate.hasIdleConnection)
--- a/src/gateway/ReplicaSelection.h
+++ b/src/gateway/ReplicaSelection.h
@@ -40,6 +40,7 @@
     double reportedWaiting = 0;      // requests that wait for prefill or are in it, at the last report
     double failureScore = 0;         // recent failures, with exponential decay
     bool isInOtherDataCenter = false;
+    bool isLimited = false;         // names a limit on its request rate
     bool hasIdleConnection = false; // the connection pool holds an idle connection to it
 };
 
@@ -55,6 +56,7 @@
     double affinityBonus = 0.25;          // load by which the preferred replica may be busier
     double otherDataCenterCost = 0.04;    // for a replica in another data centre
     double connectionCost = 0.02;         // for opening a connection
+    double limitedCost = 0.3;             // for a replica that limits its request rate
     double failureCost = 0.5;             // per unit of failureScore
     base::Millis reportHalfLife { 400 };  // of other daemons' requests in a report
     base::Millis waitingHalfLife { 700 }; // of reportedWaiting
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -163,7 +163,8 @@
         use.idleTimeout = head.idleTimeout;
         if (head.load && request.onLoad)
             request.onLoad(*head.load);
-        if (request.onLimit)
+        // A response without a limit counts only if it surely is this replica's.
+        if (request.onLimit && !head.isMisdirected && (head.limit.isNamed || head.isIdentified))
             request.onLimit(head.limit);
         bool isEndedByClose = !isDelimited(response);
         AttemptResult result;
@@ -231,9 +232,9 @@
         request.connection = nullptr;
         return makeResult(AttemptOutcome::NotExecuted, request.hasCallerLeft ? "caller_gone" : "time_over", false);
     }
-    if (request.mayBeSent && !request.mayBeSent()) {
+    if (const char* obstacle = request.findSendObstacle ? request.findSendObstacle() : nullptr) {
         request.connection = nullptr;
-        return makeResult(AttemptOutcome::NotExecuted, partBlockedReason, false);
+        return makeResult(AttemptOutcome::NotExecuted, obstacle, false);
     }
     AttemptTarget target { replica.id, request.accountName, timeLeft, request.priority, request.eventSplitter.lastId };
     use.sentAt = base::Clock::now();
@@ -244,6 +245,7 @@
     else
         result = readResponse(request, codec, memory, use);
     request.connection = nullptr;
+    result.wasSent = true;
     result.wasConnectionReused = use.wasReused;
     eventsDropPartial(request.eventSplitter);
     if (use.mayReuse)
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -1,7 +1,7 @@
 // State of one request in the gateway, and its attempts at replicas.
 //
 // Contents
-//   [1] Data            RequestContext, AttemptResult
+//   [1] Data            ReplicaPermit, RequestContext, AttemptResult
 //   [2] Attempts        attemptRun()
 //
 // Call from the owning thread only; attemptRun() suspends the calling fiber.
@@ -25,6 +25,14 @@
 using attempts::NextStep;
 using attempts::RequestProgress;
 
+// Allows one request to a replica that limits its rate.
+struct ReplicaPermit {
+    std::string replica;
+    int64_t startedAtMillis = 0; // of the replica
+    base::BootTime expiresAt {};
+    bool isFromHub = false; // to be returned there if it is not used
+};
+
 struct RequestContext {
     net::HttpExchange& exchange;
     RequestHead head;
@@ -54,9 +62,10 @@
     std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
     std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
     std::function<void(const NamedLimit&)> onLimit {};        // called with what each response's head says
-    std::function<bool()> mayBeSent {};                       // asked right before an attempt is sent
-    std::function<void()> onSettled {}; // called when the answer to an attempt has settled, then null
-    net::Event wakeEvent {};            // set when something that the request waits for may have changed
+    std::function<const char*()> findSendObstacle {}; // called right before an attempt is sent; null: there is none
+    std::optional<ReplicaPermit> permit {};           // for the next attempt
+    std::function<void()> onSettled {};               // called when the answer to an attempt has settled, then null
+    net::Event wakeEvent {};                          // set when something that the request waits for may have changed
 };
 
 struct AttemptResult {
@@ -69,12 +78,16 @@
     base::Duration timeToFirstByte { 0 }; // from sending the request to the head of the response
     bool wasConnectionReused = false;     // the connection had been used before
     bool mayEndReplicas = false;          // no other replica should get the request, see attempts::RetryConditions
+    bool wasSent = false;                 // at least in part
     bool hasConnectionEnded = false;      // at the replica's side, before the end of the answer or as its end
 };
 
 // Reason of refusals and attempts that are not made because a part of the prompt is blocked.
 constexpr const char* partBlockedReason = "prompt_part_ends_replicas";
 
+// Reason of refusals and attempts that are not made because the replica's rate is used up.
+constexpr const char* replicaLimitedReason = "replica_limited";
+
 // Timeout for opening a connection to a replica.
 constexpr base::Millis connectTimeout { 700 };
 
--- a/src/gateway/WaitPolicy.cpp
+++ b/src/gateway/WaitPolicy.cpp
@@ -22,6 +22,8 @@
     if (timeToWait <= base::Duration(0))
         return refusal(inputs.hasUsableReplica ? "replicas_full" : "model_not_loaded",
             inputs.readyIn.value_or(base::Duration(0)), options);
+    if (inputs.permitIn && *inputs.permitIn > timeToWait)
+        return refusal("replica_limited", *inputs.permitIn, options);
     if (!inputs.hasUsableReplica && inputs.readyIn && *inputs.readyIn > timeToWait + options.estimateSlack)
         return refusal("model_comes_too_late", *inputs.readyIn, options);
     if (!inputs.hasUsableReplica && !inputs.readyIn && !inputs.hasHub
--- a/src/gateway/WaitPolicy.h
+++ b/src/gateway/WaitPolicy.h
@@ -29,6 +29,7 @@
     bool isForAdapter = false;              // the request is for an adapter of a model
     bool hasTriedReplica = false;           // at least one attempt was made
     bool hasHub = false;                    // a hub is known that can order the model
+    std::optional<base::Duration> permitIn; // if all replicas limit their rate: time until one may get a request
     std::optional<base::Duration> readyIn;  // estimated time until a replica has the model
 };
 
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -257,6 +257,7 @@
     m_freshAsOf = freshAsOfRead(m_freshAsOf, requestedAt);
     m_lastReadAt = requestedAt;
     applyStoredParts(parts, requestedAt);
+    pruneLimits(now);
     if (!secret.empty())
         ensurePeerNetwork(secret);
     if (!record && m_hubRecord)
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -46,6 +46,7 @@
 #include "directory/Directory.h"
 #include "gateway/WireCodec.h"
 #include "hub/HubTerm.h"
+#include "hub/LimitSync.h"
 #include "hub/PartSync.h"
 #include "net/PeerNetwork.h"
 #include "quota/AccountQuota.h"
@@ -146,6 +147,16 @@
     void recordReplicaEnd(const prompts::ReplicaEnd&);
     void recordSettledParts(const std::string& service, const std::vector<std::string>& parts);
 
+    // Records what a response says of the rate that its replica accepts. Does not suspend.
+    void recordLimit(const limits::LimitObservation&);
+
+    // Asks for a permit to send one request to a replica with a limit; it starts within `maxWait`. Granted at once if
+    // the replica has none. Suspends for a call to the hub.
+    limits::PermitAnswer takePermit(const std::string& replica, int64_t startedAtMillis, base::Duration maxWait);
+
+    // Returns a permit that came from the hub and was not used. Does not suspend.
+    void returnPermit(const std::string& replica);
+
     // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
@@ -175,6 +186,10 @@
     int64_t fencingToken() const { return m_term.fencingToken; }
     bool storeIsReachable() const { return m_storeIsReachable; }
 
+    // Requests per second that this process of a replica accepts from all daemons; empty: it named no limit.
+    std::optional<double> replicaLimit(const std::string& replica, int64_t startedAtMillis) const;
+    size_t limitedReplicaCount() const { return m_limits.ledger.limits.size(); }
+
     const prompts::PartView& partView() const { return m_parts.view; }
     const prompts::SettledParts& settledParts() const { return m_parts.ledger.settled; } // by this daemon
     size_t blockedPartCount() const;                                                     // without those on probation
@@ -229,6 +244,18 @@
     void applyStoredParts(const coordination::KvEntry* entry, base::BootTime requestedAt);
     void storeParts();
 
+    // -- rates that replicas accept --
+    void applyLimitObservation(const limits::LimitObservation&, const std::string& source);
+    void pruneLimits(base::BootTime now);
+    uint64_t addLimitsToRequest(nlohmann::json& body, base::BootTime now);
+    void applyMemberLimits(const std::string& from, const nlohmann::json& body, base::BootTime now);
+    void addLimitsToReply(const nlohmann::json& asked, nlohmann::json& reply) const;
+    void applyLimitsReply(const nlohmann::json& body, base::BootTime requestedAt, uint64_t sentSequence, bool isHub);
+    void limitsTold(const nlohmann::json& body, uint64_t sentSequence);
+    limits::PermitAnswer grantPermit(
+        const std::string& replica, int64_t startedAtMillis, base::Duration maxWait, base::BootTime now);
+    nlohmann::json handlePermitCall(const std::string& from, const nlohmann::json& body);
+
     quota::AccountLimit limitOf(const gateway::Account&) const;
     void chargeUngranted(const std::string& account, double tokens);
 
@@ -289,6 +316,7 @@
     quota::HubQuota m_hubQuota; // hub only
     quota::LocalQuota m_localQuota;
     PartSync m_parts;
+    LimitSync m_limits;
 };
 
 } // namespace rattanshunt::hub
--- a/src/hub/HubSyncInternal.h
+++ b/src/hub/HubSyncInternal.h
@@ -18,6 +18,7 @@
 inline constexpr base::Millis minOutageDuration { 300 };   // shorter store failures do not start the lapse grace period
 inline constexpr size_t largeConfigurationBytes = 48 * 1024; // above, a known configuration is compared, not read
 inline constexpr base::Millis grantTimeout { 150 };          // for one call to the hub for quota
+inline constexpr base::Millis permitTimeout { 150 };         // for one call to the hub for a permit
 inline constexpr base::Millis rateReportInterval { 1500 }; // between two reports of arrival rates, which change slowly
 inline constexpr base::Millis recordRetryInterval { 150 }; // between two attempts to write the orderer record
 inline constexpr size_t maxAddressSample = 16;             // addresses of other members that a member is told
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -67,6 +67,7 @@
     base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
     m_loop.spawn([this] { renewLoop(); });
     takeOverParts(BootClock::now());
+    m_limits.schedules.clear();
 
     auto orderer = m_kv.get(ordererKey);
     auto secret = m_kv.get(secretKey);
@@ -207,6 +208,8 @@
         }
         return Json { { "hub", true }, { "tokens", tokens } };
     }
+    if (method == "permit" && body.is_object())
+        return handlePermitCall(from, body);
     return Json(Json::value_t::discarded);
 }
 
@@ -244,6 +247,7 @@
             member.address = *address;
         applyMemberDemand(member, body, now);
         applyMemberParts(body, now);
+        applyMemberLimits(from, body, now);
         Json unused = body.value("unused", Json::object());
         for (auto& [account, tokens] : unused.items())
             quota::hubQuotaReturn(m_hubQuota, account, tokens.get<double>());
@@ -295,6 +299,7 @@
     if (m_freshAsOf == BootTime {})
         return reply;
     addPartsToReply(asked, reply, now);
+    addLimitsToReply(asked, reply);
     reply["age_us"] = std::chrono::duration_cast<base::Micros>(now - m_freshAsOf).count();
     if (asked.value("configuration", int64_t(0)) < m_configurationRevision) {
         reply["configuration"] = m_configurationRevision;
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -51,8 +51,10 @@
     std::map<std::string, double> unreported;
     Json body = isHub ? buildSyncRequest() : Json { { "configuration", m_configurationRevision } };
     uint64_t sentSequence = 0;
+    uint64_t sentLimitSequence = 0;
     if (isHub) {
         sentSequence = addPartsToRequest(body, requestedAt);
+        sentLimitSequence = addLimitsToRequest(body, requestedAt);
         Json unused = Json::object();
         for (auto& [account, share] : m_localQuota.shares) {
             // Grants that were not spent since the last sync are returned.
@@ -75,6 +77,7 @@
     try {
         applySyncReply(result.body, requestedAt, isHub);
         applyPartsReply(result.body, requestedAt, sentSequence, isHub);
+        applyLimitsReply(result.body, requestedAt, sentLimitSequence, isHub);
     } catch (const std::exception& error) {
         base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
             { { "peer", base::formatAddress(address) }, { "why", error.what() } });
--- a/src/models/ModelPlan.cpp
+++ b/src/models/ModelPlan.cpp
@@ -24,6 +24,7 @@
         const PlanOptions& options;
         std::map<std::string, ModelDemand> demand; // by model
         std::map<std::string, int> copies;         // loaded or being loaded
+        std::map<std::string, int> limitedCopies;  // those on replicas that limit their request rate
         std::set<std::string> occupied;            // replicas that got a job in this plan
         double storeLoadsLeft = 0;
         std::vector<PlanJob> jobs;
@@ -301,7 +302,7 @@
 
 Plan planJobs(const PlanInput& input, const PlanOptions& options)
 {
-    Planning planning { input, options, {}, {}, {}, input.storeLoadsLeft, {} };
+    Planning planning { input, options, {}, {}, {}, {}, input.storeLoadsLeft, {} };
     for (const auto& [key, row] : input.demand) {
         if (key.service != input.service || !input.engine->models.contains(key.model))
             continue;
@@ -313,8 +314,10 @@
         demand.running += row.running;
     }
     for (const PlanReplica& replica : input.replicas) {
-        for (const LoadedModel& held : replica.held)
+        for (const LoadedModel& held : replica.held) {
             ++planning.copies[held.name];
+            planning.limitedCopies[held.name] += replica.isLimited ? 1 : 0;
+        }
         for (const std::string& model : replica.loading)
             ++planning.copies[model];
     }
@@ -331,6 +334,13 @@
             && !placeModel(planning, *spec, std::numeric_limits<double>::max()))
             unplacedModels.push_back(spec->name);
     }
+    // Models whose copies are all on limited replicas, where requests wait for their turn.
+    for (auto& [waitingWeightSum, spec] : order) {
+        double waiting = planning.demand[spec->name].waiting;
+        int copies = planning.copies[spec->name];
+        if (waiting > 0 && copies > 0 && copies == planning.limitedCopies[spec->name])
+            placeModel(planning, *spec, waiting);
+    }
     // Adapters with waiting requests, on replicas that have their models.
     for (const auto& [key, row] : input.demand) {
         if (key.service != input.service || key.adapter.empty() || row.waiting <= 0)
--- a/src/models/ModelPlan.h
+++ b/src/models/ModelPlan.h
@@ -32,6 +32,7 @@
 struct PlanReplica {
     std::string id;
     bool isOccupied = false; // has a job of this hub or is busy with any order; gets no new job
+    bool isLimited = false;  // names a limit on its request rate; its models wait for another copy
     double load = 0;         // running and waiting requests per slot
     std::vector<gateway::LoadedModel> held;
     size_t adaptersInTransit = 0;               // being loaded; they take slots but are not in `held`
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -138,7 +138,8 @@
             state->startedAtMillis = replica.entry.startedAtMillis;
             state->lastReportAt = now;
         }
-        if (state->isReportPending || state->hasJob || now - state->reportRequestedAt < m_options.reportInterval)
+        base::Millis interval = isLimited(id, *state) ? limits::reportInterval : m_options.reportInterval;
+        if (state->isReportPending || state->hasJob || now - state->reportRequestedAt < interval)
             continue;
         m_loop.spawn([this, id = id] { requestReport(id); });
     }
@@ -169,7 +170,7 @@
     std::optional<gateway::ReplicaReport> report;
     if (result.error == net::HttpCallError::None) {
         report = m_codec.readReport(result.response);
-        state->namesLimit = m_codec.readLimit(result.response).isNamed;
+        recordLimit(id, *state, result.response, requestedAt, true);
     }
     updateReachability(id, *state, report.has_value());
     if (!report) {
@@ -186,9 +187,23 @@
     return true;
 }
 
-void Placer::logCall(const std::string& id, const ReplicaState& state, const char* kind)
+bool Placer::isLimited(const std::string& id, const ReplicaState& state) const
 {
-    if (state.namesLimit)
+    return m_hubSync.replicaLimit(id, state.startedAtMillis).has_value();
+}
+
+void Placer::recordLimit(
+    const std::string& id, ReplicaState& state, const net::HttpResponse& response, BootTime requestedAt, bool isReport)
+{
+    gateway::NamedLimit limit = m_codec.readLimit(response);
+    state.namesLimitInReports = state.namesLimitInReports || (isReport && limit.isNamed);
+    if (limit.requestsPerSecond || (isReport && !limit.isNamed && state.namesLimitInReports))
+        m_hubSync.recordLimit({ id, state.startedAtMillis, limit.requestsPerSecond, requestedAt, BootClock::now(), 1 });
+}
+
+void Placer::logCall(const std::string& id, const ReplicaState& state, const char* kind) const
+{
+    if (isLimited(id, state))
         base::logEvent(LogLevel::Info, "replica.limited_call", { { "replica", id }, { "kind", kind } });
 }
 
@@ -261,7 +276,8 @@
         const ReplicaState& known = *state->second;
         PlanReplica view;
         view.id = id;
-        view.isOccupied = known.hasJob || known.report.isExecutingOrder;
+        view.isLimited = isLimited(id, known);
+        view.isOccupied = known.hasJob || known.report.isExecutingOrder || view.isLimited;
         view.load = (known.report.running + known.report.waiting) / std::max(1.0, replica.entry.slots);
         view.held = modelsInUse(known);
         view.adaptersInTransit = known.ledger.inTransit.size();
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -65,7 +65,7 @@
         std::vector<std::pair<std::string, std::string>> leaving; // models and adapters that the job unloads
         gateway::ReplicaReport report;                            // the last that arrived; it may lag behind the ledger
         std::unique_ptr<net::HttpConnection> connection;
-        bool namesLimit = false; // in its last response to this hub
+        bool namesLimitInReports = false; // so that a report without one counts as an answer without a limit
     };
 
     void tick();
@@ -73,7 +73,10 @@
     void beginTerm();
     void requestDueReports(base::BootTime now);
     bool requestReport(const std::string& id);
-    static void logCall(const std::string& id, const ReplicaState&, const char* kind);
+    void logCall(const std::string& id, const ReplicaState&, const char* kind) const;
+    void recordLimit(
+        const std::string& id, ReplicaState&, const net::HttpResponse&, base::BootTime requestedAt, bool isReport);
+    bool isLimited(const std::string& id, const ReplicaState&) const;
     void updateReachability(const std::string& id, ReplicaState&, bool hasAnswered);
     void planService(const gateway::Service&, const hub::DemandTable&, base::BootTime now,
         std::map<hub::ModelKey, base::BootTime>& readyEstimates);
--- a/src/models/PlacerJobs.cpp
+++ b/src/models/PlacerJobs.cpp
@@ -144,6 +144,8 @@
     OrderResult outcome
         = result.error == net::HttpCallError::None ? m_codec.readOrderResponse(result.response) : OrderResult::Unknown;
     ledgerOrderEnded(state->ledger, order, outcome, sentAt, BootClock::now());
+    if (result.error == net::HttpCallError::None)
+        recordLimit(id, *state, result.response, sentAt, false);
     if (result.error == net::HttpCallError::None && !state->connection)
         state->connection = std::move(connection);
     return outcome;
@@ -164,7 +166,7 @@
     const PlanJob& job, ReplicaState& state, const ModelOrder& order, bool wasAccepted, BootTime giveUpAt)
 {
     while (BootClock::now() < giveUpAt && !m_isStopping) {
-        net::sleepFor(m_options.orderPollInterval);
+        net::sleepFor(isLimited(job.replica, state) ? limits::reportInterval : m_options.orderPollInterval);
         auto current = m_replicaStates.find(job.replica);
         if (current == m_replicaStates.end() || current->second.get() != &state
             || m_fencingToken != m_hubSync.fencingToken())
--- a/tests/ServerLimitTests.cpp
+++ b/tests/ServerLimitTests.cpp
@@ -68,6 +68,137 @@
     });
 }
 
+// The only replica of a service, with more requests than it accepts: it gets its rate, and the others are refused
+// before their callers give up.
+Test(server_limit, the_only_replica_gets_the_rate_that_it_names, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 19, 1, 0);
+        fixture.startSending("/safe/", "", base::Millis(50));
+        net::sleepFor(base::Seconds(1));
+        fixture.plain[0]->faults().namedLimits = { "3" };
+        base::TimePoint namedAt = base::Clock::now();
+        net::sleepFor(base::Seconds(3) + judgedTime);
+        fixture.stopSending();
+        fixture.checkLimit(*fixture.plain[0], 3, namedAt);
+        double use = fixture.useOf(*fixture.plain[0], 3, namedAt + base::Seconds(3), namedAt + base::Seconds(12));
+        cr_expect_geq(use, goodUse, "%.2f of the limit was used", use);
+        cr_expect_eq(fixture.answersByStatus[0], 0, "%zu callers gave up", fixture.answersByStatus[0]);
+    });
+}
+
+Test(server_limit, a_limit_holds_while_the_hub_is_replaced, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 19, 2, 0);
+        fixture.startSending("/safe/", "", base::Millis(20));
+        fixture.plain[0]->faults().namedLimits = { "1" };
+        base::TimePoint namedAt = base::Clock::now();
+        net::sleepFor(base::Millis(3500));
+        size_t hub = fixture.hubIndex();
+        fixture.fleet.kill(*fixture.gateways[hub]);
+        fixture.gateways[hub] = &fixture.fleet.addGateway("g-new");
+        net::sleepFor(judgedTime);
+        fixture.stopSending();
+        fixture.checkLimit(*fixture.plain[0], 1, namedAt, { hub });
+    });
+}
+
+// A limit in one response of three, and in refusals.
+Test(server_limit, a_limit_holds_between_the_responses_that_name_it, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 10, 2, 0);
+        fixture.startSending("/safe/", "", base::Millis(20));
+        fixture.plain[0]->faults().namedLimits = { "2" };
+        fixture.plain[0]->faults().namesLimitEveryNth = 3;
+        fixture.plain[0]->faults().fault = ReplicaFault::Refuse;
+        fixture.plain[0]->faults().remainingRequests = 10;
+        base::TimePoint namedAt = base::Clock::now();
+        net::sleepFor(judgedTime);
+        fixture.stopSending();
+        fixture.checkLimit(*fixture.plain[0], 2, namedAt);
+    });
+}
+
+Test(server_limit, a_limit_that_falls_binds_and_one_that_is_no_longer_named_is_lifted, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 10, 1, 0);
+        fixture.startSending("/safe/", "", base::Millis(20));
+        ReplicaStandIn& replica = *fixture.plain[0];
+        replica.faults().namedLimits = { "4" };
+        net::sleepFor(base::Seconds(4));
+        replica.faults().namedLimits = { "0.5" };
+        base::TimePoint fellAt = base::Clock::now();
+        net::sleepFor(base::Seconds(8));
+        fixture.checkLimit(replica, 0.5, fellAt + base::Seconds(1));
+        replica.faults().namedLimits.clear();
+        net::sleepFor(base::Seconds(14)); // trials at the low rate have to show that the limit has ended
+        base::TimePoint end = base::Clock::now();
+        fixture.stopSending();
+        double rate = fixture.useOf(replica, 1, end - base::Seconds(2), end);
+        cr_expect_gt(rate, 10, "%.1f requests a second after the limit had ended", rate);
+    });
+}
+
+Test(server_limit, a_replica_that_accepts_nothing_gets_trials_only, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 10, 2, 0);
+        fixture.startSending("/safe/", "", base::Millis(20));
+        fixture.plain[0]->faults().namedLimits = { "0" };
+        base::TimePoint namedAt = base::Clock::now();
+        net::sleepFor(judgedTime);
+        fixture.stopSending();
+        fixture.checkLimit(*fixture.plain[0], 0, namedAt);
+        cr_expect_eq(fixture.answersByStatus[503], 0);
+    });
+}
+
+Test(server_limit, a_restart_ends_the_limit, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 4, 1, 0);
+        fixture.startSending("/safe/", "", base::Millis(20));
+        ReplicaStandIn& replica = *fixture.plain[0];
+        replica.faults().namedLimits = { "0.5" };
+        net::sleepFor(base::Seconds(3));
+        replica.faults().namedLimits.clear();
+        replica.restart();
+        fixture.fleet.publishEntry(replica);
+        net::sleepFor(base::Seconds(3));
+        base::TimePoint end = base::Clock::now();
+        fixture.stopSending();
+        double rate = fixture.useOf(replica, 1, end - base::Seconds(1), end);
+        cr_expect_gt(rate, 10, "%.1f requests a second after the restart", rate);
+    });
+}
+
+// The model's only copy is on a limited replica, and another one has room for it.
+Test(server_limit, a_model_whose_replica_is_limited_is_loaded_elsewhere, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        LimitFixture fixture(loop, 6, 0, 2);
+        fixture.startSending("/stream/", "m2", base::Millis(100));
+        net::sleepFor(base::Seconds(2));
+        auto holders = [&] {
+            return std::count_if(fixture.engines.begin(), fixture.engines.end(),
+                [](const ReplicaStandIn* each) { return each->loadedModels().contains("m2"); });
+        };
+        cr_assert_geq(holders(), 1);
+        for (ReplicaStandIn* replica : fixture.engines) {
+            if (replica->loadedModels().contains("m2")) {
+                replica->faults().namedLimits = { "0.5" };
+                break;
+            }
+        }
+        net::sleepFor(base::Seconds(6));
+        fixture.stopSending();
+        cr_expect_eq(holders(), 2);
+    });
+}
+
 Test(server_limit, values_are_read_as_whole_finite_numbers)
 {
     cr_expect_eq(*readLimits({ "2.25" }).requestsPerSecond, 2.25);
