--- a/lab/ReplicaStandIn.cpp
+++ b/lab/ReplicaStandIn.cpp
@@ -44,7 +44,7 @@
         { "address", base::formatAddress(advertisedAddress.value_or(address())) },
         { "zone", m_impl->options.dataCenter }, { "version", "v1" }, { "slots", m_impl->options.batchSlots },
         { "state", isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 }, { "models", m_impl->modelsJson() },
-        { "sequence", 1 }, { "born", m_impl->startedAtMillis }
+        { "sequence", ++m_impl->entrySequence }, { "born", m_impl->startedAtMillis }
     }.dump();
 }
 
--- a/lab/ReplicaStandInImpl.h
+++ b/lab/ReplicaStandInImpl.h
@@ -25,6 +25,7 @@
     int64_t highestFencingToken = 0;
     int runningRequests = 0;
     int responseCount = 0;
+    int64_t entrySequence = 0;                 // of the entries that this process has written
     std::map<std::string, int> runningByModel; // by MODEL or MODEL/ADAPTER
     int64_t startedAtMillis = 1700000000000;
     std::vector<std::pair<base::TimePoint, base::TimePoint>> drainPeriods;
--- a/lab/ReplicaStandInOrders.cpp
+++ b/lab/ReplicaStandInOrders.cpp
@@ -91,6 +91,7 @@
     loadingModel.clear();
     ordersAccepted = 0;
     highestFencingToken = 0;
+    entrySequence = 0;
     ++startedAtMillis;
 }
 
--- a/lab/StoreStandIn.cpp
+++ b/lab/StoreStandIn.cpp
@@ -52,6 +52,8 @@
 struct StoreStandIn::Impl {
     net::Loop& loop;
     KvStore store;
+    KvStore copy;
+    int64_t era = 1;
     StoreStandInFaults faults;
     std::optional<net::HttpServerHandle> server;
     uint64_t callCount = 0;
@@ -90,6 +92,8 @@
             return;
         }
         response.headers.push_back({ "Content-Type", "application/json" });
+        if (faults.sendsEra)
+            response.headers.push_back({ "Store-Era", std::to_string(era) });
         exchange.respond(std::move(response));
     }
 
@@ -233,6 +237,25 @@
     kvStoreTxn(m_impl->store, {}, { { key, std::nullopt, 0 } });
 }
 
+void StoreStandIn::saveCopy()
+{
+    m_impl->copy = m_impl->store;
+}
+
+void StoreStandIn::restoreCopy()
+{
+    m_impl->store = m_impl->copy;
+    ++m_impl->era;
+    // The leases of the copy run on from now.
+    for (auto& [lease, state] : m_impl->store.leases)
+        state.expiresAt = base::Clock::now() + state.timeToLive;
+}
+
+int64_t StoreStandIn::era() const
+{
+    return m_impl->era;
+}
+
 base::Address StoreStandIn::address() const
 {
     return m_impl->server->address;
--- a/lab/StoreStandIn.h
+++ b/lab/StoreStandIn.h
@@ -22,6 +22,7 @@
     StoreMode mode = StoreMode::Normal;
     base::Millis delay { 0 }; // before each call
     int loseEveryNthAck = 0;  // every n-th write takes effect but gets no response; 0: none
+    bool sendsEra = true;     // responses carry the Store-Era header
 };
 
 class StoreStandIn {
@@ -37,7 +38,13 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    // Keeps a copy of the present state, and comes back from it: what was written since is gone, leases too, and
+    // revisions and lease identifiers are given out again. The era rises.
+    void saveCopy();
+    void restoreCopy();
+
     base::Address address() const;
+    int64_t era() const;
     const KvStore& state() const;
     StoreStandInFaults& faults();
     uint64_t callCount() const; // since the start, including those with injected faults
