Follow a store that comes back from an older copy

Cause: what came out of the store was put in order by its revision alone. After the return revisions are lower or stand for other content, so a new configuration and a replica's new entry were dropped as old. Two records of ours that the copy lacked were misread: a missing rs/parts lifted blocks, and a missing rs/secret let the next hub create another secret.

Ruled out: that reading alone is late. All daemons read version 16 each second and never applied it.

Change: the era is the high part of a revision, put in and taken out in one place, so all comparisons and fencing tokens are in order over eras. The copy itself is older than what is known: over eras configurations are in the order of their versions and entries in that in which their replica wrote them; a replica that drained or is gone stays so, one that the copy lacks counts as lapsed. The era ends the hub's term, the next orders wait as at a hand-over, and blocks and the secret are written again.

--- a/src/coordination/Kv.h
+++ b/src/coordination/Kv.h
@@ -1,7 +1,7 @@
 // The platform's key-value service: compare-and-swap, leases and watches.
 //
 // Contents
-//   [1] Data            KvEntry, KvCompare, KvWrite, results
+//   [1] Data            Revision, KvEntry, KvCompare, KvWrite, results
 //   [2] Kv              the interface; HttpKv in KvClient.h implements it, tests use an in-memory fake
 //   [3] Helpers         kvPrefixEnd(), kvSwap()
 //
@@ -22,8 +22,28 @@
 
 // ---- [1] Data ----------------------------------------------------------------------------------
 
+// In order over the whole life of the store. A store that is restored from an older copy begins a new era and gives out
+// its own revisions again, so the era is the high part of a revision. Both parts together fit the whole numbers that a
+// double, and with it any JSON reader, represents exactly.
 using Revision = int64_t;
 
+constexpr int eraShift = 40;              // bits of a revision below the era
+constexpr int64_t maxEra = (1 << 13) - 1; // 2^53 limits a revision
+
+constexpr Revision revisionInEra(int64_t era, int64_t number)
+{
+    return number ? (era << eraShift) + number : 0;
+}
+constexpr int64_t revisionEra(Revision revision)
+{
+    return revision >> eraShift;
+}
+// The revision as the store itself counts it.
+constexpr int64_t revisionNumber(Revision revision)
+{
+    return revision & ((int64_t(1) << eraShift) - 1);
+}
+
 struct KvEntry {
     std::string key;
     std::string value;
@@ -88,6 +108,9 @@
     virtual KvLeaseResult leaseRenew(int64_t lease) = 0;
     virtual KvError leaseRevoke(int64_t lease) = 0;
 
+    // The era of the last response; 0: the store names none.
+    virtual int64_t era() const { return 0; }
+
     // Calls `onEvents` with all changes of keys that start with `prefix`, from revision `from` on and in order, and
     // with an empty list as a heartbeat. The second argument is the store's revision. Returns when the watch fails or
     // `onEvents` returns false.
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "coordination/Kv.h"
+
 namespace rattanshunt::directory {
 
 namespace {
@@ -14,48 +16,82 @@
         return key.substr(codec.entryPrefix.size());
     }
 
-    // Whether this revision of the entry was removed before; a daemon that lags behind may still pass it on.
-    bool wasRemoved(const Directory& directory, const std::string& id, int64_t revision)
+    bool isOtherEra(int64_t a, int64_t b)
     {
-        auto found = directory.removed.find(id);
-        return found != directory.removed.end() && revision <= found->second.revision;
+        return coordination::revisionEra(a) != coordination::revisionEra(b);
     }
 
     void removeReplica(Directory& directory, const std::string& id, int64_t revision)
     {
-        if (directory.replicas.erase(id))
-            directory.removed[id] = { id, revision, ++directory.changeSequence };
+        auto found = directory.replicas.find(id);
+        if (found == directory.replicas.end())
+            return;
+        directory.removed[id] = { id, revision, ++directory.changeSequence, std::move(found->second.entry) };
+        directory.replicas.erase(found);
+    }
+
+    // Whether this entry, or a later one of the replica, was removed before. A daemon that lags behind may still pass
+    // it on, and a copy of the store may bring it back. `entry` is null if the value cannot be read.
+    bool wasRemoved(const Directory& directory, const RawEntry& raw, const std::string& id,
+        const std::optional<gateway::ReplicaEntry>& entry)
+    {
+        auto found = directory.removed.find(id);
+        if (found == directory.removed.end())
+            return false;
+        if (isOtherEra(raw.revision, found->second.revision))
+            return entry && !gateway::entryIsNewer(*entry, found->second.entry);
+        return raw.revision <= found->second.revision;
+    }
+
+    void clearLapse(Directory& directory, Replica& replica)
+    {
+        if (std::exchange(replica.isLapsed, false))
+            replica.changeSequence = ++directory.changeSequence;
     }
 
     void applyEntry(
         Directory& directory, const gateway::WireCodec& codec, const RawEntry& raw, std::vector<EntryFault>& faults)
     {
         std::string id = replicaIdOf(codec, raw.key);
-        if (wasRemoved(directory, id, raw.revision))
-            return;
-        RawEntry& known = directory.rawEntries[raw.key];
-        if (known.revision > raw.revision)
-            return;
         auto found = directory.replicas.find(id);
-        if (known.revision == raw.revision && found != directory.replicas.end()) {
-            if (found->second.isLapsed) {
-                found->second.isLapsed = false;
-                found->second.changeSequence = ++directory.changeSequence;
-            }
-            return;
+        auto known = directory.rawEntries.find(raw.key);
+        bool isKnown = known != directory.rawEntries.end();
+        if (isKnown && !isOtherEra(known->second.revision, raw.revision)) {
+            if (known->second.revision > raw.revision)
+                return;
+            if (known->second.revision == raw.revision && found != directory.replicas.end())
+                return clearLapse(directory, found->second);
         }
-        bool isNew = known.revision != raw.revision;
-        known = raw;
         std::string fault;
         auto entry = codec.readEntry(raw.key, raw.value, fault);
+        if (wasRemoved(directory, raw, id, entry))
+            return;
+        if (isKnown && isOtherEra(known->second.revision, raw.revision)) {
+            bool isLaterEra = raw.revision > known->second.revision;
+            if (!entry && !isLaterEra)
+                return;
+            if (entry && found != directory.replicas.end() && !gateway::entryIsNewer(*entry, found->second.entry)) {
+                // An equal one was written again, or is the copy's.
+                if (isLaterEra && !gateway::entryIsNewer(found->second.entry, *entry)) {
+                    known->second = raw;
+                    found->second.revision = raw.revision;
+                    clearLapse(directory, found->second);
+                }
+                return;
+            }
+        }
+        bool isNew = !isKnown || known->second.revision != raw.revision;
+        directory.rawEntries[raw.key] = raw;
         if (!entry) {
             if (isNew)
                 faults.push_back({ raw.key, fault });
             removeReplica(directory, id, raw.revision);
             return;
         }
-        if (found != directory.replicas.end() && found->second.entry == *entry && !found->second.isLapsed) {
+        if (found != directory.replicas.end() && gateway::entryIsEqual(found->second.entry, *entry)
+            && !found->second.isLapsed) {
             found->second.revision = raw.revision;
+            found->second.entry.writeCount = entry->writeCount;
             return;
         }
         Replica& replica = directory.replicas[id];
@@ -75,8 +111,8 @@
 
 } // namespace
 
-std::vector<EntryFault> directoryApplyList(
-    Directory& directory, const gateway::WireCodec& codec, const std::vector<RawEntry>& list, bool mayBeLapsed)
+std::vector<EntryFault> directoryApplyList(Directory& directory, const gateway::WireCodec& codec,
+    const std::vector<RawEntry>& list, bool mayBeLapsed, int64_t listRevision)
 {
     std::vector<EntryFault> faults;
     std::set<std::string> present;
@@ -96,7 +132,7 @@
             found->second.isLapsed = true;
             continue;
         }
-        removeReplica(directory, id, directory.rawEntries[key].revision);
+        removeReplica(directory, id, std::max(directory.rawEntries[key].revision, listRevision));
         directory.rawEntries.erase(key);
     }
     return faults;
--- a/src/directory/Directory.h
+++ b/src/directory/Directory.h
@@ -10,6 +10,11 @@
 // that disappears while the store is unavailable, or within `lapseGracePeriod` after it is back, stays in use until the
 // grace period is over; one that disappears at any other time is removed at once.
 //
+// The store may be restored from an older copy, and begins a new era. What the copy holds is then older than what is
+// known here, although its revisions are of a later era, until the replicas have written their entries again. Across
+// eras, entries are in the order in which their replica wrote them: a replica that drains or is gone stays so, and one
+// that the copy lacks is treated as lapsed.
+//
 // A new hub takes over in a fleet of hundreds of daemons, which know nearly all of what it knows. If it sent everything
 // to each of them, its link would be full for seconds, and it would lose its lease. Digests show which replicas differ.
 //
@@ -59,8 +64,9 @@
 // not add it again.
 struct RemovedReplica {
     std::string id;
-    int64_t revision = 0;        // of its last entry
+    int64_t revision = 0;        // of its last entry, or of a later list without it
     uint64_t changeSequence = 0; // of the removal
+    gateway::ReplicaEntry entry; // its last one, to compare with entries of another era of the store
 };
 
 struct Directory {
@@ -81,9 +87,10 @@
 };
 
 // Applies a complete list. `mayBeLapsed`: missing entries may have lapsed in a store outage and are kept, except those
-// of draining replicas. Returns the entries that could not be read and were not reported before; they add no replica.
+// of draining replicas. `listRevision`: of the store when it was read, or 0. Returns the entries that could not be read
+// and were not reported before; they add no replica.
 std::vector<EntryFault> directoryApplyList(
-    Directory&, const gateway::WireCodec&, const std::vector<RawEntry>&, bool mayBeLapsed);
+    Directory&, const gateway::WireCodec&, const std::vector<RawEntry>&, bool mayBeLapsed, int64_t listRevision = 0);
 
 // Applies single entries and removals that another daemon passed on. A removal only applies to an entry of the same or
 // an older revision than the other daemon removed.
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -2,7 +2,7 @@
 //
 // Contents
 //   [1] Requests        PromptSegment, RequestHead, AttemptTarget, NamedLimit, ResponseHead
-//   [2] Replicas        LoadedModel, ReplicaEntry, ReplicaReport, ModelOrder, OrderResult
+//   [2] Replicas        LoadedModel, ReplicaEntry, entryIsNewer(), ReplicaReport, ModelOrder, OrderResult
 //   [3] Codec           WireCodec
 //
 // The codec fills these structs where messages enter the process; no other code uses names of the wire format.
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/Text.h"
@@ -93,10 +94,27 @@
     std::optional<base::Millis> timeUntilRemoval; // until the platform removes the replica
     int64_t startedAtMillis = 0; // start time of the replica; a different value under the same id means a restart
     std::vector<LoadedModel> models;
-
-    bool operator==(const ReplicaEntry&) const = default;
+    int64_t writeCount = 0; // rises with each entry that this process of the replica writes; 0: not stated
 };
 
+// Whether `entry` was written later than `known`, an entry of the same replica, by what the replica itself says. For
+// entries whose revisions are of different eras of the store. A replica that drains does not become ready again.
+inline bool entryIsNewer(const ReplicaEntry& entry, const ReplicaEntry& known)
+{
+    return std::tuple(entry.startedAtMillis, entry.writeCount, entry.isDraining)
+        > std::tuple(known.startedAtMillis, known.writeCount, known.isDraining);
+}
+
+// Whether both say the same of the replica, whenever they were written.
+inline bool entryIsEqual(const ReplicaEntry& a, const ReplicaEntry& b)
+{
+    auto fields = [](const ReplicaEntry& entry) {
+        return std::tie(entry.id, entry.service, entry.dataCenter, entry.address, entry.slots, entry.isDraining,
+            entry.timeUntilRemoval, entry.startedAtMillis, entry.models);
+    };
+    return fields(a) == fields(b);
+}
+
 // A replica's response to a report request.
 struct ReplicaReport {
     int64_t startedAtMillis = 0;
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -220,10 +220,26 @@
     return true;
 }
 
+// A new era begins like the end of an outage: entries that the copy lacks are written again.
+void HubSync::updateStoreEra(int64_t era, BootTime now)
+{
+    if (m_storeEra && *m_storeEra != era) {
+        base::logEvent(LogLevel::Warning, "store.restored", { { "era", era }, { "before", *m_storeEra } });
+        base::counterAdd("store_restores_total");
+        m_storeRecoveredAt = now;
+        m_hasSeenRestore = true;
+    }
+    m_storeEra = era;
+    if (m_term.isHeld && coordination::revisionEra(m_term.fencingToken) != era)
+        resign("the store was restored");
+}
+
 void HubSync::applyStoreEntries(const coordination::KvRangeResult& all, BootTime requestedAt)
 {
-    if (requestedAt < m_freshAsOf)
+    int64_t era = coordination::revisionEra(all.revision);
+    if (requestedAt < m_freshAsOf || (m_storeEra && era < *m_storeEra))
         return;
+    updateStoreEra(era, BootClock::now());
     std::vector<directory::RawEntry> entries;
     std::optional<HubRecord> record;
     const coordination::KvEntry* parts = nullptr;
@@ -253,10 +269,10 @@
     uint64_t before = m_directory.changeSequence;
     BootTime now = BootClock::now();
     bool mayBeLapsed = m_storeRecoveredAt != BootTime {} && now - m_storeRecoveredAt < directory::lapseGracePeriod;
-    logEntryFaults(directory::directoryApplyList(m_directory, m_codec, entries, mayBeLapsed));
+    logEntryFaults(directory::directoryApplyList(m_directory, m_codec, entries, mayBeLapsed, all.revision));
     m_freshAsOf = freshAsOfRead(m_freshAsOf, requestedAt);
     m_lastReadAt = requestedAt;
-    applyStoredParts(parts, requestedAt);
+    applyStoredParts(parts, era, requestedAt);
     pruneLimits(now);
     if (!secret.empty())
         ensurePeerNetwork(secret);
@@ -271,16 +287,34 @@
         notifySubscribers();
 }
 
+// Whether the configuration in force is newer than one with this version and revision. Within an era of the store the
+// revision decides, over eras the version.
+bool HubSync::isConfigurationNewerThan(int64_t version, int64_t revision) const
+{
+    if (!m_configuration || coordination::revisionEra(revision) == coordination::revisionEra(m_configurationRevision))
+        return m_configurationRevision > revision;
+    return std::tuple(m_configuration->version, m_configurationRevision) > std::tuple(version, revision);
+}
+
 void HubSync::applyConfiguration(const std::string& value, int64_t revision)
 {
-    if (revision <= m_configurationRevision)
+    bool isSameEra = coordination::revisionEra(revision) == coordination::revisionEra(m_configurationRevision);
+    if (revision == m_ignoredConfigurationRevision || (isSameEra && revision <= m_configurationRevision))
         return;
     base::TimePoint begunAt = base::Clock::now();
+    std::string fault;
+    auto configuration = m_codec.readConfiguration(value, fault);
+    if (m_configuration && !isSameEra
+        && (!configuration || isConfigurationNewerThan(configuration->version, revision))) {
+        m_ignoredConfigurationRevision = revision;
+        base::logEvent(LogLevel::Warning, "configuration.older_ignored",
+            { { "version", configuration ? configuration->version : -1 }, { "revision", revision },
+                { "in_force", m_configuration->version } });
+        return;
+    }
     m_configurationRevision = revision;
     m_configurationValue = value;
     m_configurationCompressed = base::compress(value);
-    std::string fault;
-    auto configuration = m_codec.readConfiguration(value, fault);
     if (!configuration) {
         base::logEvent(LogLevel::Error, "configuration.unreadable", { { "revision", revision }, { "why", fault } });
         return;
@@ -296,6 +330,7 @@
 {
     if (m_peers)
         return;
+    m_secret = secret;
     net::PeerOptions options;
     options.name = m_options.name;
     options.secret = secret;
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -17,7 +17,8 @@
 //
 // Keys that persist in the store:
 //   rs/hub       {name, address, start}, under the hub's lease; its creation revision is the fencing token
-//   rs/orderer   {name}, without a lease: the last daemon that issued orders; another daemon waits before its first one
+//   rs/orderer   {name, era}, without a lease: the last daemon that issued orders, and the store's era then; another
+//                daemon waits before its first one
 //   rs/fleet     {members}, without a lease: the number of daemons that share the fleet's budgets, for daemons that
 //                have no hub
 //   rs/parts     {parts: [{service, part, until_ms, blocks}]}, without a lease: the prompt parts that are blocked or on
@@ -29,6 +30,11 @@
 // Q: What does a daemon do during a store outage?  A: It serves on its current data up to the age limit. Replicas whose
 //    entries lapse in the meantime stay, see directory/Directory.h.
 //
+// Q: What if the store is restored from an older copy?  A: The era of the store rises, which ends the hub's term.
+// Nothing
+//    older replaces what is known: configurations of different eras are in the order of their versions, entries in the
+//    order in which their replicas wrote them. What the copy lacks of this system's own records is written again.
+//
 // All methods: own thread only. Those marked "suspends" need a fiber.
 #pragma once
 
@@ -215,6 +221,8 @@
     base::Duration currentSyncInterval() const;
     void applyStoreEntries(const coordination::KvRangeResult&, base::BootTime requestedAt);
     void applyConfiguration(const std::string& value, int64_t revision);
+    bool isConfigurationNewerThan(int64_t version, int64_t revision) const;
+    void updateStoreEra(int64_t era, base::BootTime now);
     void updateStoreReachable(bool isReachable);
     void logEntryFaults(const std::vector<directory::EntryFault>&);
 
@@ -241,7 +249,7 @@
     void addPartsToReply(const nlohmann::json& asked, nlohmann::json& reply, base::BootTime now) const;
     uint64_t addPartsToRequest(nlohmann::json& body, base::BootTime now);
     void applyPartsReply(const nlohmann::json& body, base::BootTime requestedAt, uint64_t sentSequence, bool isHub);
-    void applyStoredParts(const coordination::KvEntry* entry, base::BootTime requestedAt);
+    void applyStoredParts(const coordination::KvEntry* entry, int64_t era, base::BootTime requestedAt);
     void storeParts();
 
     // -- rates that replicas accept --
@@ -287,6 +295,7 @@
     std::string m_configurationValue;
     std::string m_configurationCompressed; // as sent to other daemons
     int64_t m_configurationRevision = 0;
+    int64_t m_ignoredConfigurationRevision = 0; // of the last one that was older although of a later era of the store
     directory::Directory m_directory;
     directory::DirectoryDigest m_digest; // of m_directory at m_digestSequence; hub only
     uint64_t m_digestSequence = 0;
@@ -294,6 +303,9 @@
 
     bool m_storeIsReachable = false;
     bool m_hasReadStore = false;
+    std::optional<int64_t> m_storeEra; // at the last read
+    bool m_hasSeenRestore = false;     // the store was restored from a copy while this process ran
+    std::string m_secret;
     base::BootTime m_storeFailedSince {};
     base::BootTime m_storeRecoveredAt {};
     base::BootTime m_lastReadAt {};
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -14,6 +14,25 @@
 using base::LogLevel;
 using Json = nlohmann::json;
 
+namespace {
+
+    // `entry`: the orderer's record, or null if the store has none. A record that was written in an earlier era of the
+    // store may have had a successor since.
+    PreviousOrderer previousOrderer(const coordination::KvEntry* entry, const std::string& ownName, bool hasSeenRestore)
+    {
+        if (!entry)
+            return hasSeenRestore ? PreviousOrderer::Unknown : PreviousOrderer::Nobody;
+        Json json = Json::parse(entry->value, nullptr, false);
+        bool isObject = json.is_object();
+        std::string name = isObject ? json.value("name", "") : entry->value;
+        int64_t era = isObject ? json.value("era", int64_t(0)) : 0;
+        if (era != coordination::revisionEra(entry->modRevision))
+            return PreviousOrderer::Unknown;
+        return name == ownName ? PreviousOrderer::Self : PreviousOrderer::Another;
+    }
+
+} // namespace
+
 // ---- The hub -----------------------------------------------------------------------------------
 
 void HubSync::campaign()
@@ -22,8 +41,10 @@
     if (m_term.isHeld || m_isStopping || m_hasLeftElection || !m_storeIsReachable
         || now - m_lastReadAt > m_options.directReadInterval)
         return;
-    bool isOwnPreviousRecord
-        = m_hubRecord && m_hubRecord->name == m_options.name && m_hubRecord->incarnation != m_incarnation;
+    // A record of this process outside a term of it is one that the store's copy brought back.
+    bool isFromCopy = m_storeEra && coordination::revisionEra(m_term.fencingToken) != *m_storeEra;
+    bool isOwnPreviousRecord = m_hubRecord && m_hubRecord->name == m_options.name
+        && (m_hubRecord->incarnation != m_incarnation || (m_term.fencingToken && isFromCopy));
     if (m_hubRecord && !isOwnPreviousRecord)
         return;
     if (!isOwnPreviousRecord) {
@@ -37,6 +58,7 @@
     }
     BootTime requestedAt = BootClock::now();
     auto granted = m_kv.leaseGrant(m_options.leaseTtl);
+    int64_t era = m_kv.era();
     if (granted.error != coordination::KvError::None)
         return;
     Json record { { "name", m_options.name }, { "address", base::formatAddress(m_options.peerAddress) },
@@ -45,9 +67,14 @@
     // the lease expires.
     int64_t expected = isOwnPreviousRecord ? m_hubRecord->modRevision : 0;
     auto written = m_kv.txn({ { hubKey, expected } }, { { hubKey, record.dump(), granted.lease } });
-    if (written.error != coordination::KvError::None || !written.isApplied) {
+    // A lease of an earlier era is gone, and its identifier may have been given to another daemon.
+    bool isRestored = m_kv.era() != era;
+    if (written.error != coordination::KvError::None || !written.isApplied || isRestored) {
         base::logEvent(LogLevel::Info, "hub.not_elected",
-            { { "why", written.error == coordination::KvError::None ? "another daemon was first" : "no answer" } });
+            { { "why",
+                isRestored                                         ? "the store was restored"
+                    : written.error == coordination::KvError::None ? "another daemon was first"
+                                                                   : "no answer" } });
         return;
     }
     becomeHub(granted.lease, requestedAt, written.revision);
@@ -74,15 +101,15 @@
     if (!m_term.isHeld)
         return;
     if (secret.error == coordination::KvError::None && secret.entries.empty()) {
-        std::string created = base::hexEncode(base::randomBytes(secretBytes));
+        // The one that the daemons use already, if the store was restored from a copy without it.
+        std::string created = m_secret.empty() ? base::hexEncode(base::randomBytes(secretBytes)) : m_secret;
         if (m_kv.txn({ { secretKey, 0 } }, { { secretKey, created, 0 } }).isApplied)
             ensurePeerNetwork(created);
     }
     BootTime now = BootClock::now();
-    PreviousOrderer previous = orderer.error != coordination::KvError::None ? PreviousOrderer::Unknown
-        : orderer.entries.empty()                                           ? PreviousOrderer::Nobody
-        : orderer.entries[0].value == m_options.name                        ? PreviousOrderer::Self
-                                                                            : PreviousOrderer::Another;
+    PreviousOrderer previous = orderer.error != coordination::KvError::None
+        ? PreviousOrderer::Unknown
+        : previousOrderer(orderer.entries.empty() ? nullptr : &orderer.entries[0], m_options.name, m_hasSeenRestore);
     if (previous == PreviousOrderer::Nobody) {
         m_hubQuota.initialFraction = 1;
         m_hubQuota.electedAt = {};
@@ -101,6 +128,7 @@
 {
     int64_t lease = m_term.lease;
     auto hasTermEnded = [&] { return !m_term.isHeld || m_term.lease != lease; };
+    Json record { { "name", m_options.name }, { "era", coordination::revisionEra(m_term.fencingToken) } };
     net::sleepFor(m_term.ordersAllowedAt - BootClock::now());
     while (!hasTermEnded()) {
         auto known = m_kv.get(ordererKey);
@@ -108,7 +136,7 @@
             int64_t expected = known.entries.empty() ? 0 : known.entries[0].modRevision;
             // Conditional on this daemon's hub record: a successor may already be issuing orders.
             auto written = m_kv.txn(
-                { { ordererKey, expected }, { hubKey, m_term.fencingToken } }, { { ordererKey, m_options.name, 0 } });
+                { { ordererKey, expected }, { hubKey, m_term.fencingToken } }, { { ordererKey, record.dump(), 0 } });
             if (hasTermEnded())
                 return;
             if (written.isApplied) {
@@ -173,6 +201,8 @@
         auto renewed = m_kv.leaseRenew(lease);
         if (!m_term.isHeld || m_term.lease != lease)
             return;
+        if (m_kv.era() != coordination::revisionEra(m_term.fencingToken))
+            return resign("the store was restored");
         if (renewed.error == coordination::KvError::None && renewed.lease == lease)
             termRenewed(m_term, requestedAt, m_options.leaseTtl);
         else if (renewed.error == coordination::KvError::None)
@@ -301,7 +331,8 @@
     addPartsToReply(asked, reply, now);
     addLimitsToReply(asked, reply);
     reply["age_us"] = std::chrono::duration_cast<base::Micros>(now - m_freshAsOf).count();
-    if (asked.value("configuration", int64_t(0)) < m_configurationRevision) {
+    if (isConfigurationNewerThan(
+            asked.value("configuration_version", int64_t(0)), asked.value("configuration", int64_t(0)))) {
         reply["configuration"] = m_configurationRevision;
         reply["configuration_value"]
             = Json::binary({ m_configurationCompressed.begin(), m_configurationCompressed.end() });
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -21,6 +21,7 @@
     BootTime now = BootClock::now();
     Json body { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubIncarnation },
         { "stamp", m_hubChangeSequence }, { "configuration", m_configurationRevision },
+        { "configuration_version", m_configuration ? m_configuration->version : 0 },
         { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
     if (!m_hubRecord || m_hubRecord->incarnation != m_hubIncarnation)
         body["digest"] = directory::directoryDigest(m_directory);
@@ -49,7 +50,9 @@
     BootTime requestedAt = BootClock::now();
     m_lastSyncAt = requestedAt;
     std::map<std::string, double> unreported;
-    Json body = isHub ? buildSyncRequest() : Json { { "configuration", m_configurationRevision } };
+    Json body = isHub ? buildSyncRequest()
+                      : Json { { "configuration", m_configurationRevision },
+                            { "configuration_version", m_configuration ? m_configuration->version : 0 } };
     uint64_t sentSequence = 0;
     uint64_t sentLimitSequence = 0;
     if (isHub) {
--- a/src/hub/HubSyncParts.cpp
+++ b/src/hub/HubSyncParts.cpp
@@ -278,24 +278,28 @@
 
 // ---- The store ---------------------------------------------------------------------------------
 
-// `entry`: the record, or null if the store has none.
-void HubSync::applyStoredParts(const coordination::KvEntry* entry, BootTime requestedAt)
+// `entry`: the record, or null if the store has none. `era`: of the store when it was read.
+void HubSync::applyStoredParts(const coordination::KvEntry* entry, int64_t era, BootTime requestedAt)
 {
     int64_t revision = entry ? entry->modRevision : 0;
-    if (revision == m_parts.storedRevision || requestedAt < m_parts.storeWrittenAt)
+    // A copy of the store neither lifts blocks nor brings them back; the hub writes what is known.
+    bool isCopy = m_parts.storedEra && *m_parts.storedEra != era;
+    if ((revision == m_parts.storedRevision && !isCopy) || requestedAt < m_parts.storeWrittenAt)
         return;
+    m_parts.storedEra = era;
     BootTime now = BootClock::now();
     std::map<PartKey, prompts::PartBlock> blocks;
     if (entry)
         blocks = readStoredBlocks(entry->value, now);
     for (const auto& [key, count] : m_parts.stored) {
-        if (!blocks.contains(key))
+        if (!blocks.contains(key) && !isCopy)
             applyPartChanges(prompts::ledgerUnblock(m_parts.ledger, key), now);
     }
     m_parts.stored.clear();
     for (const auto& [key, block] : blocks) {
         m_parts.stored[key] = block.count;
-        prompts::ledgerBlock(m_parts.ledger, key, block);
+        if (!isCopy)
+            prompts::ledgerBlock(m_parts.ledger, key, block);
     }
     m_parts.storedRevision = revision;
     refreshPartView();
--- a/src/hub/PartSync.h
+++ b/src/hub/PartSync.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "prompts/PartLedger.h"
@@ -27,6 +28,7 @@
     std::string toldIncarnation;            // of that hub
     std::map<prompts::PartKey, int> stored; // blocks by part, as last seen in the store
     int64_t storedRevision = 0;             // 0: the key does not exist
+    std::optional<int64_t> storedEra;       // of the store when `stored` was read
     base::BootTime storeWrittenAt {};       // when this daemon's last write was answered
 };
 
