Let streams go on only at the software version that began them

What callers of a system like ours saw: two versions in service, all entry machines killed at once, and streams that were taken up held text of both versions in one answer that looked whole.

Cause: nothing read an entry's version or Resumes. A take-up went to any replica of the service, and so did the gateway's own continuation within one answer. Ruled out by the tests: that only the kill matters; a replica that ends in the middle of an answer joins two versions as well.

Change: the gateway remembers which version sent a stream's first event. While a service has several versions, members tell the hub with their syncs, and the hub writes the newest streams to rs/streams. A take-up goes on at the version that began it; where nobody knows, only if the service has one version, and else it is refused at once. Versions computed from the request's id were weighed and not taken: shares change through a rollout, and a take-up does not say when its stream began.

--- a/lab/ReplicaStandIn.cpp
+++ b/lab/ReplicaStandIn.cpp
@@ -42,9 +42,9 @@
     return Json {
         { "service", m_impl->options.service },
         { "address", base::formatAddress(advertisedAddress.value_or(address())) },
-        { "zone", m_impl->options.dataCenter }, { "version", "v1" }, { "slots", m_impl->options.batchSlots },
-        { "state", isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 }, { "models", m_impl->modelsJson() },
-        { "sequence", ++m_impl->entrySequence }, { "born", m_impl->startedAtMillis }
+        { "zone", m_impl->options.dataCenter }, { "version", m_impl->options.version },
+        { "slots", m_impl->options.batchSlots }, { "state", isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 },
+        { "models", m_impl->modelsJson() }, { "sequence", ++m_impl->entrySequence }, { "born", m_impl->startedAtMillis }
     }.dump();
 }
 
--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -32,6 +32,7 @@
     std::string id = "i-1";
     std::string service = "plain";
     std::string dataCenter = "dc-1";
+    std::string version = "v1"; // of its software
     bool isEngine = false;
     int batchSlots = 8;
     double weightsMb = 100; // engine memory in MB
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -206,7 +206,7 @@
     DirectoryDigest digest(digestBucketCount, 0);
     for (const auto& [id, replica] : directory.replicas) {
         const gateway::ReplicaEntry& entry = replica.entry;
-        std::string text = fmt::format("{} {} {} {} {} {} {} {}", id, entry.service, entry.dataCenter,
+        std::string text = fmt::format("{} {} {} {} {} {} {} {} {}", id, entry.service, entry.dataCenter, entry.version,
             base::formatAddress(entry.address), entry.slots, entry.isDraining, entry.startedAtMillis,
             replica.isUnreachableFromHub);
         for (const gateway::LoadedModel& loaded : replicaModels(replica))
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -211,7 +211,9 @@
             refuse(request, 503, "configuration_stale", m_options.defaultRetryAfter);
         return false;
     }
-    double randomDraw = static_cast<double>(base::stableHash(request.head.id) % 100000) / 100000;
+    // A take-up goes to the service that began the stream.
+    const std::string& drawnId = request.head.resumedId.empty() ? request.head.id : request.head.resumedId;
+    double randomDraw = static_cast<double>(base::stableHash(drawnId) % 100000) / 100000;
     request.service = serviceSelect(*request.configuration, *request.route, randomDraw);
     if (!request.service) {
         refuse(request, 503, "no_service", m_options.defaultRetryAfter);
@@ -273,6 +275,11 @@
     }
     if (!findAccount(request))
         return false;
+    if (!findStreamVersion(request)) {
+        if (!request.accountName.empty())
+            m_hubSync.quotaReturn(request.accountName, request.tokenCost);
+        return false;
+    }
     request.priority = std::min(maxPriority, priorityOffset + request.priority);
     request.demandWeight = 1.0 / (1 + std::max(0, request.route->priority));
     return true;
@@ -342,6 +349,8 @@
 void Gateway::finish(
     RequestContext& request, NextStep step, const AttemptResult& last, std::optional<base::Millis> retryAfter)
 {
+    if (request.pinnedVersion && (request.hasCallerLeft || step == NextStep::AbortStream))
+        m_hubSync.announceBrokenStream();
     if (request.hasCallerLeft) {
         recordRequestEnd(request, 0, "caller_gone", last.reason);
         return;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -96,7 +96,8 @@
     struct ReplicaChoice {
         const directory::Replica* replica = nullptr; // null: none can take the request now
         bool needsPermit = false;
-        bool hasUsable = false;                 // a replica has the model, but may be full, limited or tried already
+        bool hasVersion = false; // a replica of the version that began the stream serves, and can get the model
+        bool hasUsable = false;  // a replica has the model, but may be full, limited or tried already
         std::optional<base::BootTime> permitAt; // if all others are limited: when one is expected to have a permit
     };
 
@@ -109,6 +110,8 @@
     bool admit(RequestContext&);
     bool findRoute(RequestContext&);
     bool findAccount(RequestContext&);
+    bool findStreamVersion(RequestContext&);
+    void recordStreamVersion(RequestContext&, const ReplicaEntry&);
     void runAttempts(RequestContext&);
     const directory::Replica* awaitReplica(RequestContext&, const std::set<std::string>& tried, Refusal&);
     ReplicaChoice selectReplica(RequestContext&, const std::set<std::string>& tried);
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -73,6 +73,8 @@
 {
     ReplicaChoice choice;
     bool hasUnlimited = false;
+    bool hasVersion = false;
+    bool isModelElsewhere = false; // at another version only, so that no replica is ordered to load it
     std::vector<ReplicaCandidate> candidates;
     std::vector<const directory::Replica*> replicas;
     BootTime now = BootClock::now();
@@ -80,7 +82,13 @@
     for (const auto& [id, replica] : m_hubSync.directory().replicas) {
         if (replica.entry.service != request.service->name || !directory::replicaIsUsable(replica))
             continue;
-        if (isEngine && !directory::replicaHasModel(replica, request.head.model, request.head.adapter, now))
+        bool hasModel = !isEngine || directory::replicaHasModel(replica, request.head.model, request.head.adapter, now);
+        if (request.pinnedVersion && replica.entry.version != *request.pinnedVersion) {
+            isModelElsewhere = isModelElsewhere || (isEngine && hasModel);
+            continue;
+        }
+        hasVersion = true;
+        if (!hasModel)
             continue;
         if (replica.isUnreachableFromHub && now - statsOf(replica).lastSuccessAt > m_options.recentSuccessPeriod)
             continue;
@@ -92,6 +100,7 @@
         hasUnlimited = hasUnlimited || !isLimited;
         if (isLimited && hasPermitFor(request, replica.entry, now)) {
             choice.replica = &replica;
+            choice.hasVersion = true;
             return choice;
         }
         if (isLimited && now < stats.noPermitBefore) {
@@ -117,6 +126,7 @@
     SelectionRequest selection { affinityHashOf(request.head), base::stableHash(request.head.id) };
     selection.hasLongPrompt = request.head.promptTokens >= m_options.longPromptTokens;
     selection.modelHash = isEngine ? base::stableHash(request.head.model) | 1 : 0;
+    choice.hasVersion = hasVersion && (choice.hasUsable || !isModelElsewhere);
     auto chosen = replicaSelect(candidates, selection, isEngine ? m_options.engineSelection : m_options.plainSelection);
     if (chosen) {
         choice.replica = replicas[*chosen];
@@ -165,6 +175,10 @@
             refusal = *partIsBlocked;
             break;
         }
+        if (request.pinnedVersion && !choice.hasVersion) {
+            refusal = { "no_replica_of_version", std::nullopt };
+            break;
+        }
         if (choice.needsPermit) {
             acquirePermit(request, *choice.replica);
             continue;
@@ -247,6 +261,8 @@
     request.lastReplicaId = entry.id;
     request.onLimit
         = [this, &request, &entry, begunAt](const NamedLimit& limit) { recordLimit(request, entry, limit, begunAt); };
+    if (request.progress.retryClass == RetryClass::Resumable)
+        request.onFirstEvent = [this, &request, &entry] { recordStreamVersion(request, entry); };
     request.findSendObstacle = [this, &request, &entry] { return findSendObstacle(request, entry); };
     if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis))
         base::logEvent(LogLevel::Info, "replica.limited_call",
@@ -255,6 +271,7 @@
     attempts::progressCountAttempt(request.progress, result.outcome);
     request.findSendObstacle = nullptr;
     request.onLimit = nullptr;
+    request.onFirstEvent = nullptr;
     if (result.wasSent)
         request.permit.reset();
     releasePermit(request);
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -117,6 +117,8 @@
             }
             if (complete.empty())
                 continue;
+            if (request.onFirstEvent)
+                std::exchange(request.onFirstEvent, nullptr)();
             if (!request.progress.hasSentHead) {
                 request.progress.hasSentHead = true;
                 if (!request.exchange.startStream(head.status, codec.forwardedHeaders(head)))
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -49,6 +49,8 @@
     RequestProgress progress {};
     std::string lastReplicaId {}; // to which the last attempt was made; empty: none was made
     EventSplitter eventSplitter {};
+    std::optional<std::string> pinnedVersion {};              // of replicas; the stream goes on at no other one
+    std::function<void()> onFirstEvent {};                    // called before the attempt's first event is forwarded
     std::string blockedPart {};                               // that the request is refused for
     std::vector<std::string> sharedParts {};                  // ids of the prompt's parts but the last
     base::BootTime attemptFirstEventAt {};                    // time of the first event of the present attempt
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -40,6 +40,7 @@
     double maxOutputTokens = 0;           // 0 if not stated
     std::optional<base::Millis> timeLeft; // how long the caller will wait
     std::string lastEventId;              // the caller resumes a stream after this event; empty: from the start
+    std::string resumedId;                // id of the request that brought the first event of that stream
 };
 
 // What the gateway adds to a request that it sends to a replica.
@@ -88,6 +89,7 @@
     std::string id;
     std::string service;
     std::string dataCenter;
+    std::string version; // of its software, not of the weights; streams of different versions do not fit together
     base::Address address;
     double slots = 1;
     bool isDraining = false;
@@ -109,8 +111,8 @@
 inline bool entryIsEqual(const ReplicaEntry& a, const ReplicaEntry& b)
 {
     auto fields = [](const ReplicaEntry& entry) {
-        return std::tie(entry.id, entry.service, entry.dataCenter, entry.address, entry.slots, entry.isDraining,
-            entry.timeUntilRemoval, entry.startedAtMillis, entry.models);
+        return std::tie(entry.id, entry.service, entry.dataCenter, entry.version, entry.address, entry.slots,
+            entry.isDraining, entry.timeUntilRemoval, entry.startedAtMillis, entry.models);
     };
     return fields(a) == fields(b);
 }
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -124,6 +124,7 @@
             updateReachableMemberFraction();
             advanceParts(BootClock::now());
             storeParts();
+            storeStreams();
             net::sleepFor(m_options.hubReadInterval);
             continue;
         }
@@ -258,6 +259,8 @@
             secret = entry.value;
         else if (entry.key == partsKey)
             parts = &entry;
+        else if (entry.key == streamsKey)
+            applyStoredStreams(entry, BootClock::now());
         else if (entry.key == hubKey) {
             Json json = Json::parse(entry.value, nullptr, false);
             auto address = json.is_object() ? base::parseAddress(json.value("address", "")) : std::nullopt;
@@ -274,6 +277,7 @@
     m_lastReadAt = requestedAt;
     applyStoredParts(parts, era, requestedAt);
     pruneLimits(now);
+    seeVersions(now);
     if (!secret.empty())
         ensurePeerNetwork(secret);
     if (!record && m_hubRecord)
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -23,6 +23,8 @@
 //                have no hub
 //   rs/parts     {parts: [{service, part, until_ms, blocks}]}, without a lease: the prompt parts that are blocked or on
 //                probation, with the Unix time of the block's end; a part that is deleted there is forgotten by all
+//   rs/streams   {versions: [[service, version, last seen]], streams: [[service, version, [stream, ...]]]}, without a
+//                lease: which version of a service began its latest streams, while it has several
 //   rs/secret    the shared secret with which daemons authenticate each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and works after the store's history was compacted. A
@@ -54,6 +56,7 @@
 #include "hub/HubTerm.h"
 #include "hub/LimitSync.h"
 #include "hub/PartSync.h"
+#include "hub/StreamSync.h"
 #include "net/PeerNetwork.h"
 #include "quota/AccountQuota.h"
 
@@ -163,6 +166,17 @@
     // Returns a permit that came from the hub and was not used. Does not suspend.
     void returnPermit(const std::string& replica);
 
+    // Records that a stream began with this request, at a replica with this version of the software. Does not suspend.
+    void recordStreamOrigin(const std::string& service, const std::string& requestId, const std::string& version);
+
+    // Tells the hub soon of the streams that this daemon served, as the caller of one may come back elsewhere. Does not
+    // suspend.
+    void announceBrokenStream();
+
+    // What is known of a stream that a caller takes up; `requestId`: of the request that brought its first event.
+    // Suspends for calls to the hub.
+    streams::TakeUpKnowledge takeUpKnowledge(const std::string& service, const std::string& requestId);
+
     // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
@@ -264,6 +278,17 @@
         const std::string& replica, int64_t startedAtMillis, base::Duration maxWait, base::BootTime now);
     nlohmann::json handlePermitCall(const std::string& from, const nlohmann::json& body);
 
+    // -- versions that began streams --
+    bool versionsAreMixed(const std::string& service) const;
+    bool anyVersionsAreMixed() const;
+    void seeVersions(base::BootTime now);
+    uint64_t addStreamsToRequest(nlohmann::json& body);
+    void applyMemberStreams(const nlohmann::json& body, base::BootTime now);
+    void applyStreamsReply(const nlohmann::json& body, uint64_t sentSequence);
+    nlohmann::json handleStreamCall(const nlohmann::json& body);
+    void applyStoredStreams(const coordination::KvEntry&, base::BootTime now);
+    void storeStreams();
+
     quota::AccountLimit limitOf(const gateway::Account&) const;
     void chargeUngranted(const std::string& account, double tokens);
 
@@ -329,6 +354,7 @@
     quota::LocalQuota m_localQuota;
     PartSync m_parts;
     LimitSync m_limits;
+    StreamSync m_streams;
 };
 
 } // namespace rattanshunt::hub
--- a/src/hub/HubSyncInternal.h
+++ b/src/hub/HubSyncInternal.h
@@ -10,6 +10,7 @@
 inline constexpr const char* ordererKey = "rs/orderer";
 inline constexpr const char* fleetKey = "rs/fleet";
 inline constexpr const char* partsKey = "rs/parts";
+inline constexpr const char* streamsKey = "rs/streams";
 inline constexpr const char* secretKey = "rs/secret";
 inline constexpr size_t secretBytes = 16;
 
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -95,6 +95,7 @@
     m_loop.spawn([this] { renewLoop(); });
     takeOverParts(BootClock::now());
     m_limits.schedules.clear();
+    m_streams.hasNewOrigins = true;
 
     auto orderer = m_kv.get(ordererKey);
     auto secret = m_kv.get(secretKey);
@@ -238,6 +239,8 @@
         }
         return Json { { "hub", true }, { "tokens", tokens } };
     }
+    if (method == "stream" && body.is_object())
+        return handleStreamCall(body);
     if (method == "permit" && body.is_object())
         return handlePermitCall(from, body);
     return Json(Json::value_t::discarded);
@@ -278,6 +281,7 @@
         applyMemberDemand(member, body, now);
         applyMemberParts(body, now);
         applyMemberLimits(from, body, now);
+        applyMemberStreams(body, now);
         Json unused = body.value("unused", Json::object());
         for (auto& [account, tokens] : unused.items())
             quota::hubQuotaReturn(m_hubQuota, account, tokens.get<double>());
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -55,9 +55,11 @@
                             { "configuration_version", m_configuration ? m_configuration->version : 0 } };
     uint64_t sentSequence = 0;
     uint64_t sentLimitSequence = 0;
+    uint64_t sentStreamSequence = 0;
     if (isHub) {
         sentSequence = addPartsToRequest(body, requestedAt);
         sentLimitSequence = addLimitsToRequest(body, requestedAt);
+        sentStreamSequence = addStreamsToRequest(body);
         Json unused = Json::object();
         for (auto& [account, share] : m_localQuota.shares) {
             // Grants that were not spent since the last sync are returned.
@@ -81,6 +83,8 @@
         applySyncReply(result.body, requestedAt, isHub);
         applyPartsReply(result.body, requestedAt, sentSequence, isHub);
         applyLimitsReply(result.body, requestedAt, sentLimitSequence, isHub);
+        if (isHub)
+            applyStreamsReply(result.body, sentStreamSequence);
     } catch (const std::exception& error) {
         base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
             { { "peer", base::formatAddress(address) }, { "why", error.what() } });
@@ -155,6 +159,7 @@
         directory::directoryApplyReport(
             m_directory, row.at(0).get<std::string>(), report, requestedAt - base::Millis(row.at(4).get<int64_t>()));
     }
+    seeVersions(BootClock::now());
     m_readyEstimates.clear();
     for (const Json& row : body.at("outlook"))
         m_readyEstimates[{ row.at(0).get<std::string>(), row.at(1).get<std::string>() }]
--- /dev/null
+++ b/src/hub/HubSyncStreams.cpp
@@ -0,0 +1,231 @@
+// Versions that began streams: from all daemons to the hub and the store, while a service has several.
+#include <ctime>
+
+#include <fmt/format.h>
+
+#include "base/Counters.h"
+#include "base/Log.h"
+#include "hub/HubSyncInternal.h"
+
+namespace rattanshunt::hub {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+using streams::StreamKey;
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr int originCalls = 4;                     // to the hub, for one take-up
+    constexpr base::Millis originCallInterval { 150 }; // a member may not have told the hub yet
+    constexpr base::Millis originCallTimeout { 150 };
+
+    base::Millis unixNow()
+    {
+        return std::chrono::duration_cast<base::Millis>(std::chrono::system_clock::now().time_since_epoch());
+    }
+
+    using OriginGroups = std::map<std::pair<std::string, std::string>, Json>; // by service and version
+
+    Json groupsJson(OriginGroups& groups)
+    {
+        Json rows = Json::array();
+        for (auto& [group, keys] : groups)
+            rows.push_back({ group.first, group.second, std::move(keys) });
+        return rows;
+    }
+
+} // namespace
+
+// ---- Knowledge ---------------------------------------------------------------------------------
+
+void HubSync::recordStreamOrigin(const std::string& service, const std::string& requestId, const std::string& version)
+{
+    StreamKey key = streams::streamKey(requestId);
+    BootTime now = BootClock::now();
+    streams::originsExpire(m_streams.origins, now);
+    if (m_streams.origins.origins.contains(key))
+        return;
+    streams::originRecord(m_streams.origins, key, { service, version, now });
+    m_streams.recent.push_back({ key, ++m_streams.lastSequence });
+    while (!m_streams.recent.empty() && !m_streams.origins.origins.contains(m_streams.recent.front().key))
+        m_streams.recent.pop_front();
+    m_streams.hasNewOrigins = true;
+}
+
+void HubSync::announceBrokenStream()
+{
+    if (anyVersionsAreMixed())
+        requestSync();
+}
+
+bool HubSync::versionsAreMixed(const std::string& service) const
+{
+    return streams::versionsAreMixed(m_streams.versions, service, BootClock::now());
+}
+
+bool HubSync::anyVersionsAreMixed() const
+{
+    return std::any_of(m_streams.versions.begin(), m_streams.versions.end(),
+        [this](const auto& item) { return versionsAreMixed(item.first); });
+}
+
+void HubSync::seeVersions(BootTime now)
+{
+    for (const auto& [id, replica] : m_directory.replicas)
+        streams::versionsSee(m_streams.versions, replica.entry.service, replica.entry.version, now);
+}
+
+streams::TakeUpKnowledge HubSync::takeUpKnowledge(const std::string& service, const std::string& requestId)
+{
+    StreamKey key = streams::streamKey(requestId);
+    for (int i = 0; i < originCalls; ++i) {
+        if (i > 0)
+            net::sleepFor(originCallInterval);
+        if (auto version = streams::originFind(m_streams.origins, key, service))
+            return { version, true };
+        if (m_term.isHeld || !m_hubRecord || !m_isHubReachable || !m_peers) {
+            if (!versionsAreMixed(service) || !hasHub())
+                break;
+            continue;
+        }
+        net::PeerResult result = m_peers->call(m_hubRecord->address, "stream",
+            Json { { "service", service }, { "key", key } }, base::Clock::now() + originCallTimeout);
+        if (result.error != net::PeerError::None || !result.body.is_object() || !result.body.value("hub", false))
+            continue;
+        if (result.body.contains("version")) {
+            std::string version = result.body.at("version").get<std::string>();
+            streams::originRecord(m_streams.origins, key, { service, version, BootClock::now() });
+            return { version, true };
+        }
+        if (!result.body.value("mixed", true) && !versionsAreMixed(service))
+            return { std::nullopt, false };
+    }
+    return { std::nullopt, versionsAreMixed(service) };
+}
+
+// ---- Messages ----------------------------------------------------------------------------------
+
+// Adds the origins that the hub has not been told; returns the sequence of the last one. None while each service has
+// one version: a version that appears later makes all of them known.
+uint64_t HubSync::addStreamsToRequest(Json& body)
+{
+    if (!anyVersionsAreMixed())
+        return m_streams.toldSequence;
+    OriginGroups groups;
+    uint64_t sequence = m_streams.toldSequence;
+    size_t count = 0;
+    for (const StreamSync::OwnOrigin& own : m_streams.recent) {
+        auto origin = m_streams.origins.origins.find(own.key);
+        if (own.sequence <= m_streams.toldSequence || origin == m_streams.origins.origins.end())
+            continue;
+        if (++count > maxOriginsPerCall)
+            break;
+        groups[{ origin->second.service, origin->second.version }].push_back(own.key);
+        sequence = own.sequence;
+    }
+    if (!groups.empty())
+        body["streams"] = groupsJson(groups);
+    return sequence;
+}
+
+void HubSync::applyMemberStreams(const Json& body, BootTime now)
+{
+    if (!body.contains("streams"))
+        return;
+    for (const Json& row : body.at("streams")) {
+        for (const Json& key : row.at(2))
+            streams::originRecord(m_streams.origins, key.get<StreamKey>(),
+                { row.at(0).get<std::string>(), row.at(1).get<std::string>(), now });
+    }
+    m_streams.hasNewOrigins = true;
+}
+
+void HubSync::applyStreamsReply(const Json& body, uint64_t sentSequence)
+{
+    std::string incarnation = body.at("start").get<std::string>();
+    // Another hub needs what the previous one was told of.
+    m_streams.toldSequence = incarnation == m_streams.toldIncarnation ? sentSequence : 0;
+    m_streams.toldIncarnation = incarnation;
+}
+
+Json HubSync::handleStreamCall(const Json& body)
+{
+    if (termIsOver(m_term, BootClock::now()))
+        return Json { { "hub", false } };
+    std::string service = body.at("service").get<std::string>();
+    Json reply { { "hub", true }, { "mixed", versionsAreMixed(service) } };
+    if (auto version = streams::originFind(m_streams.origins, body.at("key").get<StreamKey>(), service))
+        reply["version"] = *version;
+    return reply;
+}
+
+// ---- The store ---------------------------------------------------------------------------------
+
+// Merges the record, which another hub may have written.
+void HubSync::applyStoredStreams(const coordination::KvEntry& entry, BootTime now)
+{
+    if (entry.modRevision == m_streams.storedRevision)
+        return;
+    m_streams.storedRevision = entry.modRevision;
+    Json json = Json::parse(entry.value, nullptr, false);
+    try {
+        for (const Json& row : json.at("versions")) {
+            base::Millis age = std::max(base::Millis(0), unixNow() - base::Millis(row.at(2).get<int64_t>()));
+            streams::versionsSee(
+                m_streams.versions, row.at(0).get<std::string>(), row.at(1).get<std::string>(), now - age);
+        }
+        for (const Json& row : json.at("streams")) {
+            for (const Json& key : row.at(2))
+                streams::originRecord(m_streams.origins, key.get<StreamKey>(),
+                    { row.at(0).get<std::string>(), row.at(1).get<std::string>(), now });
+        }
+    } catch (const std::exception& error) {
+        base::logEvent(LogLevel::Warning, "stream.record_unreadable", { { "why", error.what() } });
+    }
+}
+
+// Writes the record while a service has several versions. Only while this daemon's hub record stands. Suspends.
+void HubSync::storeStreams()
+{
+    BootTime now = BootClock::now();
+    streams::originsExpire(m_streams.origins, now);
+    if (!m_term.isHeld || termIsOver(m_term, now) || !anyVersionsAreMixed())
+        return;
+    Json versions = Json::array();
+    std::string mixture;
+    for (const auto& [service, seen] : m_streams.versions) {
+        if (!versionsAreMixed(service))
+            continue;
+        for (const auto& [version, seenAt] : seen) {
+            versions.push_back({ service, version, (unixNow() - base::Millis(ageMillis(now, seenAt))).count() });
+            mixture += fmt::format("{}/{} ", service, version);
+        }
+    }
+    if (!m_streams.hasNewOrigins && mixture == m_streams.storedMixture)
+        return;
+    OriginGroups groups;
+    size_t count = 0;
+    const auto& order = m_streams.origins.order;
+    for (auto at = order.rbegin(); at != order.rend() && count < maxStoredOrigins; ++at) {
+        const streams::StreamOrigin& origin = m_streams.origins.origins.at(at->second);
+        if (!versionsAreMixed(origin.service))
+            continue;
+        groups[{ origin.service, origin.version }].push_back(at->second);
+        ++count;
+    }
+    m_streams.hasNewOrigins = false;
+    if (mixture != m_streams.storedMixture)
+        base::logEvent(LogLevel::Info, "stream.versions_mixed", { { "versions", mixture }, { "streams", count } });
+    auto written = m_kv.txn({ { hubKey, m_term.fencingToken } },
+        { { streamsKey, Json { { "versions", std::move(versions) }, { "streams", groupsJson(groups) } }.dump(), 0 } });
+    if (written.error != coordination::KvError::None || !written.isApplied) {
+        m_streams.hasNewOrigins = true;
+        return;
+    }
+    m_streams.storedMixture = mixture;
+    m_streams.storedRevision = written.revision;
+}
+
+} // namespace rattanshunt::hub
--- /dev/null
+++ b/src/streams/StreamOrigins.cpp
@@ -0,0 +1,60 @@
+#include "streams/StreamOrigins.h"
+
+#include <algorithm>
+
+#include "base/Text.h"
+
+namespace rattanshunt::streams {
+
+using base::BootTime;
+
+StreamKey streamKey(const std::string& requestId)
+{
+    return base::stableHash(requestId);
+}
+
+void originRecord(OriginTable& table, StreamKey key, StreamOrigin origin)
+{
+    BootTime recordedAt = origin.recordedAt;
+    if (!table.origins.try_emplace(key, std::move(origin)).second)
+        return;
+    table.order.emplace_back(recordedAt, key);
+    while (table.order.size() > maxOrigins) {
+        table.origins.erase(table.order.front().second);
+        table.order.pop_front();
+    }
+}
+
+std::optional<std::string> originFind(const OriginTable& table, StreamKey key, const std::string& service)
+{
+    auto found = table.origins.find(key);
+    if (found == table.origins.end() || found->second.service != service)
+        return std::nullopt;
+    return found->second.version;
+}
+
+void originsExpire(OriginTable& table, BootTime now)
+{
+    while (!table.order.empty() && now - table.order.front().first > originLifetime) {
+        table.origins.erase(table.order.front().second);
+        table.order.pop_front();
+    }
+}
+
+void versionsSee(VersionHistory& history, const std::string& service, const std::string& version, BootTime seenAt)
+{
+    BootTime& last = history[service][version];
+    last = std::max(last, seenAt);
+}
+
+bool versionsAreMixed(const VersionHistory& history, const std::string& service, BootTime now)
+{
+    auto found = history.find(service);
+    if (found == history.end())
+        return false;
+    return std::count_if(found->second.begin(), found->second.end(), [&](const auto& item) {
+        return now - item.second <= originLifetime;
+    }) > 1;
+}
+
+} // namespace rattanshunt::streams
--- /dev/null
+++ b/tests/StreamVersionTests.cpp
@@ -0,0 +1,248 @@
+// Two versions of a service's software serve, and broken streams are taken up. A stream goes on only at the version
+// that began it, whichever gateway the caller comes back to.
+#include <fmt/format.h>
+
+#include "GatewayFleet.h"
+#include "Support.h"
+
+using namespace rattanshunt;
+using namespace rattanshunt::tests;
+using namespace rattanshunt::lab;
+
+namespace {
+
+constexpr double goodShare = 0.95; // of take-ups that go on, against new streams that begin
+
+struct BrokenStream {
+    std::string requestId;
+    std::string lastEventId;
+};
+
+// Engine replicas of two versions, and gateways with many open streams.
+struct VersionFixture {
+    net::Loop& loop;
+    GatewayFleet fleet;
+    std::vector<LabGateway*> gateways;
+    std::map<std::string, ReplicaStandIn*> replicas; // by identifier
+    std::vector<BrokenStream> broken;
+    size_t openCalls = 0;
+    size_t sequence = 0;
+
+    VersionFixture(net::Loop& testLoop, const std::vector<std::string>& versions, size_t gatewayCount = 4)
+        : loop(testLoop)
+        , fleet(testLoop)
+    {
+        fleet.configure(labConfiguration(1));
+        for (const std::string& version : versions)
+            addReplica(version);
+        for (size_t i = 0; i < gatewayCount; ++i)
+            addGateway();
+        cr_assert(fleet.waitReady());
+    }
+    ~VersionFixture()
+    {
+        while (openCalls)
+            net::sleepFor(base::Millis(20));
+        fleet.stop();
+    }
+
+    void addReplica(const std::string& version)
+    {
+        ReplicaStandInOptions options;
+        options.id = fmt::format("i-{}", replicas.size());
+        options.service = "engine";
+        options.isEngine = true;
+        options.version = version;
+        options.batchSlots = 64;
+        options.processingTime = base::Millis(50);
+        options.eventsPerStream = 60;
+        options.modelSizesMb = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
+        options.loadedModels = { "m1" };
+        replicas[options.id] = &fleet.addReplica(options);
+    }
+    void addGateway() { gateways.push_back(&fleet.addGateway(fmt::format("g{}", sequence++))); }
+
+    // Starts streams, spread over the gateways; those that break off are kept in `broken`.
+    void startStreams(size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            ++openCalls;
+            loop.spawn([this, index = i % gateways.size(), id = fmt::format("{:016x}", ++sequence)] {
+                CallerResponse response = fleet.call(*gateways[index], labRequest("/stream/", id, "m1"));
+                size_t at = response.body.rfind("id: ");
+                bool isBroken = response.error != net::HttpCallError::None && at != std::string::npos;
+                if (isBroken)
+                    broken.push_back({ id, std::to_string(std::stoi(response.body.substr(at + 4))) });
+                --openCalls;
+            });
+        }
+    }
+
+    void killAllGateways()
+    {
+        size_t killing = gateways.size();
+        for (LabGateway* gateway : gateways) {
+            loop.spawn([this, gateway, &killing] {
+                fleet.kill(*gateway);
+                --killing;
+            });
+        }
+        while (killing || openCalls)
+            net::sleepFor(base::Millis(5));
+        size_t count = std::exchange(gateways, {}).size();
+        for (size_t i = 0; i < count; ++i)
+            addGateway();
+    }
+
+    std::set<std::string> versionsThatServed(const std::string& requestId) const
+    {
+        std::set<std::string> versions;
+        for (const auto& [id, replica] : replicas) {
+            if (replica->history().executionsByRequest().contains(requestId))
+                versions.insert(versionOf(id));
+        }
+        return versions;
+    }
+    std::string versionOf(const std::string& replica) const
+    {
+        return nlohmann::json::parse(replicas.at(replica)->entry()).at("version").get<std::string>();
+    }
+
+    // Takes all broken streams up; returns how many go on. Checks that none goes on at another version.
+    size_t takeUp()
+    {
+        size_t continued = 0;
+        for (size_t i = 0; i < broken.size(); ++i) {
+            ++openCalls;
+            loop.spawn([this, i, &continued] {
+                std::string id = fmt::format("{:016x}", 0xa0000000 + i);
+                net::HttpRequest request = labRequest("/stream/", id, "m1");
+                request.headers.push_back({ "Last-Event-Id", broken[i].lastEventId });
+                request.headers.push_back({ "Resumes", broken[i].requestId });
+                CallerResponse response = fleet.call(*gateways[i % gateways.size()], request, base::Millis(6000));
+                continued += response.status == 200 ? 1 : 0;
+                std::set<std::string> versions = versionsThatServed(id);
+                if (!versions.empty())
+                    cr_expect_eq(versions, versionsThatServed(broken[i].requestId),
+                        "stream %s is joined from two versions", broken[i].requestId.c_str());
+                --openCalls;
+            });
+        }
+        while (openCalls)
+            net::sleepFor(base::Millis(20));
+        return continued;
+    }
+};
+
+} // namespace
+
+Test(stream_version, streams_are_not_joined_from_two_versions_after_all_gateways_were_killed, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1", "v2", "v2" });
+        net::sleepFor(base::Millis(1000));
+        fixture.startStreams(60);
+        net::sleepFor(base::Millis(2000));
+        fixture.killAllGateways();
+        cr_assert(fixture.fleet.waitReady());
+        cr_assert_gt(fixture.broken.size(), 50);
+        size_t continued = fixture.takeUp();
+        cr_expect_geq(static_cast<double>(continued), goodShare * static_cast<double>(fixture.broken.size()),
+            "%zu of %zu streams go on", continued, fixture.broken.size());
+    });
+}
+
+// Streams that begin at the last moment before the kill are known to nobody.
+Test(stream_version, streams_of_unknown_version_are_refused_at_once, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1", "v2", "v2" });
+        net::sleepFor(base::Millis(1000));
+        fixture.startStreams(60);
+        net::sleepFor(base::Millis(120));
+        fixture.killAllGateways();
+        cr_assert(fixture.fleet.waitReady());
+        cr_assert_gt(fixture.broken.size(), 50);
+        base::TimePoint begunAt = base::Clock::now();
+        size_t continued = fixture.takeUp();
+        if (continued == 0)
+            cr_expect_lt(base::secondsOf(base::Clock::now() - begunAt), 1.5);
+    });
+}
+
+// One gateway is killed right after its streams began, and their callers come back to the others at once.
+Test(stream_version, streams_of_a_killed_gateway_go_on_at_their_version_or_not_at_all, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1", "v2", "v2" });
+        net::sleepFor(base::Millis(1000));
+        fixture.startStreams(60);
+        net::sleepFor(base::Millis(1000));
+        size_t hub = 0;
+        while (!fixture.gateways[hub]->hubSync.isHub())
+            ++hub;
+        fixture.fleet.kill(*fixture.gateways[hub]);
+        fixture.gateways.erase(fixture.gateways.begin() + static_cast<ptrdiff_t>(hub));
+        while (fixture.broken.size() < 15)
+            net::sleepFor(base::Millis(5));
+        size_t count = fixture.broken.size();
+        size_t continued = fixture.takeUp();
+        cr_expect_geq(static_cast<double>(continued), goodShare * static_cast<double>(count),
+            "%zu of %zu streams go on", continued, count);
+    });
+}
+
+// The last replicas of the old version leave before the callers come back.
+Test(stream_version, streams_of_a_version_that_has_left_are_not_continued, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1" });
+        fixture.startStreams(20);
+        net::sleepFor(base::Millis(500));
+        fixture.addReplica("v2");
+        fixture.addReplica("v2");
+        net::sleepFor(base::Millis(1500));
+        for (const auto& [id, replica] : fixture.replicas) {
+            if (fixture.versionOf(id) == "v1")
+                fixture.fleet.publishEntry(*replica, true);
+        }
+        net::sleepFor(base::Millis(900));
+        fixture.killAllGateways();
+        net::sleepFor(base::Millis(2500));
+        cr_assert_gt(fixture.broken.size(), 15);
+        cr_expect_eq(fixture.takeUp(), 0);
+    });
+}
+
+Test(stream_version, streams_go_on_while_there_is_one_version, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1" });
+        fixture.startStreams(30);
+        net::sleepFor(base::Millis(800));
+        fixture.killAllGateways();
+        cr_assert(fixture.fleet.waitReady());
+        cr_expect_eq(fixture.takeUp(), fixture.broken.size());
+    });
+}
+
+// A replica ends in the middle of a stream, and the gateway itself looks for another one.
+Test(stream_version, one_answer_is_not_joined_from_two_versions, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v2", "v2" }, 2);
+        net::sleepFor(base::Millis(500));
+        fixture.startStreams(30);
+        net::sleepFor(base::Millis(800));
+        for (const auto& [id, replica] : fixture.replicas) {
+            if (fixture.versionOf(id) == "v1")
+                replica->crash();
+        }
+        while (fixture.openCalls)
+            net::sleepFor(base::Millis(20));
+        for (size_t i = 0; i < 40; ++i) {
+            std::string id = fmt::format("{:016x}", i);
+            cr_expect_leq(fixture.versionsThatServed(id).size(), 1, "stream %s", id.c_str());
+        }
+    });
+}
