--- /dev/null
+++ b/src/hub/HubSyncElection.cpp
@@ -0,0 +1,181 @@
+// The hub's term: election, lease, and the record of who orders.
+#include <fmt/format.h>
+
+#include "base/Log.h"
+#include "hub/HubSyncInternal.h"
+
+namespace rattanshunt::hub {
+
+using base::BootClock;
+using base::BootTime;
+using base::LogLevel;
+using Json = nlohmann::json;
+
+namespace {
+
+    // `entry`: the orderer's record, or null if the store has none. A record that was written in an earlier era of the
+    // store may have had a successor since.
+    PreviousOrderer previousOrderer(const coordination::KvEntry* entry, const std::string& ownName, bool hasSeenRestore)
+    {
+        if (!entry)
+            return hasSeenRestore ? PreviousOrderer::Unknown : PreviousOrderer::Nobody;
+        Json json = Json::parse(entry->value, nullptr, false);
+        bool isObject = json.is_object();
+        std::string name = isObject ? json.value("name", "") : entry->value;
+        int64_t era = isObject ? json.value("era", int64_t(0)) : 0;
+        if (era != coordination::revisionEra(entry->modRevision))
+            return PreviousOrderer::Unknown;
+        return name == ownName ? PreviousOrderer::Self : PreviousOrderer::Another;
+    }
+
+} // namespace
+
+// ---- The hub -----------------------------------------------------------------------------------
+
+void HubSync::campaign()
+{
+    BootTime now = BootClock::now();
+    if (m_term.isHeld || m_isStopping || m_hasLeftElection || !m_storeIsReachable
+        || now - m_lastReadAt > m_options.directReadInterval)
+        return;
+    // A record of this process outside a term of it is one that the store's copy brought back.
+    bool isFromCopy = m_storeEra && coordination::revisionEra(m_term.fencingToken) != *m_storeEra;
+    bool isOwnPreviousRecord = m_hubRecord && m_hubRecord->name == m_options.name
+        && (m_hubRecord->incarnation != m_incarnation || (m_term.fencingToken && isFromCopy));
+    if (m_hubRecord && !isOwnPreviousRecord)
+        return;
+    if (!isOwnPreviousRecord) {
+        double randomFraction
+            = static_cast<double>(base::stableHash(m_options.name, base::stableHash(m_incarnation)) % 1000) / 1000;
+        net::sleepFor(campaignDelay(m_options.electionPriority, randomFraction));
+        auto current = m_kv.get(hubKey);
+        if (current.error != coordination::KvError::None || !current.entries.empty() || m_isStopping
+            || m_hasLeftElection)
+            return;
+    }
+    BootTime requestedAt = BootClock::now();
+    auto granted = m_kv.leaseGrant(m_options.leaseTtl);
+    int64_t era = m_kv.era();
+    if (granted.error != coordination::KvError::None)
+        return;
+    Json record { { "name", m_options.name }, { "address", base::formatAddress(m_options.peerAddress) },
+        { "start", m_incarnation } };
+    // A previous incarnation of this daemon issued the last orders and has ended, so its record may be replaced before
+    // the lease expires.
+    int64_t expected = isOwnPreviousRecord ? m_hubRecord->modRevision : 0;
+    auto written = m_kv.txn({ { hubKey, expected } }, { { hubKey, record.dump(), granted.lease } });
+    // A lease of an earlier era is gone, and its identifier may have been given to another daemon.
+    bool isRestored = m_kv.era() != era;
+    if (written.error != coordination::KvError::None || !written.isApplied || isRestored) {
+        base::logEvent(LogLevel::Info, "hub.not_elected",
+            { { "why",
+                isRestored                                         ? "the store was restored"
+                    : written.error == coordination::KvError::None ? "another daemon was first"
+                                                                   : "no answer" } });
+        return;
+    }
+    becomeHub(granted.lease, requestedAt, written.revision);
+}
+
+void HubSync::becomeHub(int64_t lease, BootTime requestedAt, int64_t revision)
+{
+    m_term = termBegin(lease, revision, requestedAt, BootClock::now(), m_options.leaseTtl);
+    m_members.clear();
+    m_hubQuota = {};
+    m_hubQuota.electedAt = m_term.electedAt;
+    m_hubQuota.reachableMemberFraction = 1.0 / static_cast<double>(std::max<size_t>(1, m_memberCount));
+    m_hubQuota.initialFraction = quota::successorInitialFraction;
+    m_hubQuota.lowUsageInitialFraction = quota::successorLowUsageInitialFraction;
+    if (BootClock::now() - m_localQuota.lastHubContactAt < memberTimeout)
+        m_hubQuota.wasLowUsageByAccount = m_localQuota.isLowUsageByAccount;
+    base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
+    m_loop.spawn([this] { renewLoop(); });
+    takeOverParts(BootClock::now());
+    m_limits.schedules.clear();
+    m_streams.hasNewOrigins = true;
+
+    auto orderer = m_kv.get(ordererKey);
+    auto secret = m_kv.get(secretKey);
+    if (!m_term.isHeld)
+        return;
+    if (secret.error == coordination::KvError::None && secret.entries.empty()) {
+        // The one that the daemons use already, if the store was restored from a copy without it.
+        std::string created = m_secret.empty() ? base::hexEncode(base::randomBytes(secretBytes)) : m_secret;
+        if (m_kv.txn({ { secretKey, 0 } }, { { secretKey, created, 0 } }).isApplied)
+            ensurePeerNetwork(created);
+    }
+    BootTime now = BootClock::now();
+    PreviousOrderer previous = orderer.error != coordination::KvError::None
+        ? PreviousOrderer::Unknown
+        : previousOrderer(orderer.entries.empty() ? nullptr : &orderer.entries[0], m_options.name, m_hasSeenRestore);
+    if (previous == PreviousOrderer::Nobody) {
+        m_hubQuota.initialFraction = 1;
+        m_hubQuota.electedAt = {};
+        m_hubQuota.reachableMemberFraction = 1;
+    }
+    for (const auto& [account, tokens] : quota::localQuotaTakeUnreported(m_localQuota))
+        chargeUngranted(account, tokens);
+    m_term.ordersAllowedAt = termOrdersAllowedAt(previous, now, m_options.orderHandoverDelay);
+    m_term.isOrdererRecorded = previous == PreviousOrderer::Self;
+    if (!m_term.isOrdererRecorded)
+        m_loop.spawn([this] { recordOrderer(); });
+}
+
+// Records this daemon as the orderer, as soon as no order of a previous hub can be under way.
+void HubSync::recordOrderer()
+{
+    int64_t lease = m_term.lease;
+    auto hasTermEnded = [&] { return !m_term.isHeld || m_term.lease != lease; };
+    Json record { { "name", m_options.name }, { "era", coordination::revisionEra(m_term.fencingToken) } };
+    net::sleepFor(m_term.ordersAllowedAt - BootClock::now());
+    while (!hasTermEnded()) {
+        auto known = m_kv.get(ordererKey);
+        if (known.error == coordination::KvError::None && !hasTermEnded()) {
+            int64_t expected = known.entries.empty() ? 0 : known.entries[0].modRevision;
+            // Conditional on this daemon's hub record: a successor may already be issuing orders.
+            auto written = m_kv.txn(
+                { { ordererKey, expected }, { hubKey, m_term.fencingToken } }, { { ordererKey, record.dump(), 0 } });
+            if (hasTermEnded())
+                return;
+            if (written.isApplied) {
+                m_term.isOrdererRecorded = true;
+                return;
+            }
+        }
+        net::sleepFor(recordRetryInterval);
+    }
+}
+
+void HubSync::resign(const char* why)
+{
+    if (!m_term.isHeld)
+        return;
+    m_term.isHeld = false;
+    m_hubRecord.reset();
+    base::logEvent(LogLevel::Warning, "hub.resigned", { { "why", why }, { "fencing_token", m_term.fencingToken } });
+    m_wake.set();
+}
+
+void HubSync::renewLoop()
+{
+    int64_t lease = m_term.lease;
+    while (m_term.isHeld && m_term.lease == lease) {
+        net::sleepFor(m_options.leaseTtl / 4);
+        if (!m_term.isHeld || m_term.lease != lease)
+            return;
+        BootTime requestedAt = BootClock::now();
+        auto renewed = m_kv.leaseRenew(lease);
+        if (!m_term.isHeld || m_term.lease != lease)
+            return;
+        if (m_kv.era() != coordination::revisionEra(m_term.fencingToken))
+            return resign("the store was restored");
+        if (renewed.error == coordination::KvError::None && renewed.lease == lease)
+            termRenewed(m_term, requestedAt, m_options.leaseTtl);
+        else if (renewed.error == coordination::KvError::None)
+            return resign("the lease has ended");
+        if (termIsOver(m_term, BootClock::now()))
+            return resign("the lease could not be renewed");
+    }
+}
+
+} // namespace rattanshunt::hub
