--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,7 +6,8 @@
 //   [2] Gateway
 //
 // Decisions are free functions in files of their own: attempts/RetryPolicy.h (retries and refusals),
-// ReplicaSelection.h, RetryBudget.h, WaitPolicy.h, quota/AccountQuota.h. Gateway carries them out and logs them.
+// ReplicaSelection.h, RetryBudget.h, WaitPolicy.h, quota/AccountQuota.h, limits/ReplicaLimits.h,
+// streams/StreamOrigins.h. Gateway carries them out and logs them.
 //
 // Call from the owning thread only.
 #pragma once
--- a/tests/ModelTests.cpp
+++ b/tests/ModelTests.cpp
@@ -96,6 +96,29 @@
     cr_assert_eq(plan.jobs[0].unloadModels, std::vector<std::string> { "m2" });
 }
 
+// Requests wait at the only copy's replica, which limits its rate; it gets no orders itself.
+Test(planner, a_model_on_limited_replicas_only_gets_another_copy_if_that_displaces_less)
+{
+    PlanFixture fixture;
+    fixture.addReplica("limited", { "m1" });
+    fixture.input.replicas[0].isLimited = fixture.input.replicas[0].isOccupied = true;
+    fixture.addReplica("other", { "m2", "m3" });
+    fixture.input.replicas[1].onDisk = { "m1" };
+    fixture.demand("m1").waiting = 3;
+    fixture.demand("m2").arrivalRate = 0.1;
+    fixture.demand("m3").arrivalRate = 2;
+    models::Plan plan = planJobs(fixture.input, {});
+    cr_assert_eq(plan.jobs.size(), 1);
+    cr_assert_eq(plan.jobs[0].replica, "other");
+    cr_assert_eq(plan.jobs[0].model, "m1");
+    cr_assert_eq(plan.jobs[0].unloadModels, std::vector<std::string> { "m2" });
+    fixture.demand("m1").waiting = 0.1;
+    cr_assert(planJobs(fixture.input, {}).jobs.empty());
+    fixture.demand("m1").waiting = 3;
+    fixture.input.replicas[0].isLimited = false;
+    cr_assert(planJobs(fixture.input, {}).jobs.empty());
+}
+
 Test(planner, a_new_hub_unloads_nothing_and_store_loads_stay_within_the_limit)
 {
     PlanFixture fixture;
