--- a/tests/GatewayDecisionTests.cpp
+++ b/tests/GatewayDecisionTests.cpp
@@ -127,22 +127,6 @@
 
 // ---- Waiting ------------------------------------------------------------------------------------
 
-Test(wait_policy, refuses_at_once_if_no_limited_replica_can_get_the_request_in_time)
-{
-    WaitInputs inputs;
-    inputs.hasUsableReplica = true;
-    inputs.hasHub = true;
-    inputs.timeLeft = base::Seconds(3);
-    inputs.firstByteTimeLeft = base::Seconds(2);
-    inputs.permitIn = base::Seconds(4);
-    WaitDecision decision = waitDecide(inputs, {});
-    cr_assert(!decision.mayWait);
-    cr_assert_str_eq(decision.reason, "replica_limited");
-    cr_assert_eq(decision.retryAfter->count(), 4000);
-    inputs.permitIn = Millis(500);
-    cr_assert(waitDecide(inputs, {}).mayWait);
-}
-
 Test(wait_policy, refuses_at_once_with_a_retry_time_if_not_ready_before_the_first_byte_deadline)
 {
     WaitOptions options;
--- a/tests/ReplicaLimitsTests.cpp
+++ b/tests/ReplicaLimitsTests.cpp
@@ -2,6 +2,7 @@
 #include <random>
 
 #include "Support.h"
+#include "gateway/WaitPolicy.h"
 #include "limits/ReplicaLimits.h"
 
 using namespace rattanshunt;
@@ -119,3 +120,19 @@
         }
     }
 }
+
+Test(wait_policy, refuses_at_once_if_no_limited_replica_can_get_the_request_in_time)
+{
+    gateway::WaitInputs inputs;
+    inputs.hasUsableReplica = true;
+    inputs.hasHub = true;
+    inputs.timeLeft = base::Seconds(3);
+    inputs.firstByteTimeLeft = base::Seconds(2);
+    inputs.permitIn = base::Seconds(4);
+    gateway::WaitDecision decision = gateway::waitDecide(inputs, {});
+    cr_assert(!decision.mayWait);
+    cr_assert_str_eq(decision.reason, "replica_limited");
+    cr_assert_eq(decision.retryAfter->count(), 4000);
+    inputs.permitIn = base::Millis(500);
+    cr_assert(gateway::waitDecide(inputs, {}).mayWait);
+}
