--- a/src/gateway/Configuration.h
+++ b/src/gateway/Configuration.h
@@ -1,7 +1,8 @@
 // The operator's configuration: routes, services, client accounts and limits.
 //
 // Contents
-//   [1] Data            Route, ModelSpec, Engine, Service, Account, CallerLimits, Configuration
+//   [1] Data            Route, ModelSpec, Engine, Service, Account, CallerLimits, Configuration,
+//                       ConfigurationStamp, configurationIsNewer()
 //   [2] Look-ups        routeFind(), serviceSelect(), routeFirstByteTimeout(), accountFindByKey()
 //
 // A configuration is immutable once built and is shared by pointer. Pure functions; safe to call from any thread.
@@ -13,11 +14,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 #include "attempts/RetryPolicy.h"
 #include "base/Time.h"
+#include "coordination/Kv.h"
 
 namespace rattanshunt::gateway {
 
@@ -102,6 +105,21 @@
 
 using ConfigurationPointer = std::shared_ptr<const Configuration>;
 
+// Where a configuration stands among others.
+struct ConfigurationStamp {
+    int64_t version = 0;
+    coordination::Revision revision = 0; // in the store; 0: there is none
+};
+
+// Whether `a` is newer than `b`. Within an era of the store the revision decides. Over eras the version does: what a
+// store holds after it was restored from an older copy is older than what was read before.
+inline bool configurationIsNewer(const ConfigurationStamp& a, const ConfigurationStamp& b)
+{
+    if (coordination::revisionEra(a.revision) == coordination::revisionEra(b.revision))
+        return a.revision > b.revision;
+    return std::tie(a.version, a.revision) > std::tie(b.version, b.revision);
+}
+
 // ---- [2] Look-ups ------------------------------------------------------------------------------
 
 // Builds routesByHost and accountByKey. Call once, after the other members are complete.
--- a/src/gateway/ReplicaSelection.h
+++ b/src/gateway/ReplicaSelection.h
@@ -10,9 +10,10 @@
 //
 // Load pattern: prompts share long prefixes, load reports lag, and at peak load some replicas of a model are full while
 // others have room. A request prefers the replica that the shared part of its prompt hashes to, unless that one is much
-// busier than the least busy one. A replica that failed recently gets fewer requests, but is tried again. With many
-// gateways and little traffic at each, nearly every request would open a connection; among replicas that are about
-// equally busy, the one with an idle connection is used.
+// busier than the least busy one. A replica that failed recently gets fewer requests, but is tried again; one that
+// limits its request rate gets what the others are too busy for. With many gateways and little traffic at each, nearly
+// every request would open a connection; among replicas that are about equally busy, the one with an idle connection is
+// used.
 //
 // Pure functions; safe to call from any thread.
 #pragma once
--- a/src/gateway/WaitPolicy.h
+++ b/src/gateway/WaitPolicy.h
@@ -4,9 +4,10 @@
 //   [1] Data            WaitInputs, WaitOptions, WaitDecision
 //   [2] Decision        waitDecide()
 //
-// Load pattern: demand moves to models that no replica has loaded, or replicas are full, and more requests arrive than
-// can be served. A request waits only while it can still be served before its caller disconnects. Otherwise it is
-// refused at once with the time at which it could be served, so that the caller can come back then or go elsewhere.
+// Load pattern: demand moves to models that no replica has loaded, or replicas are full or limit their request rate,
+// and more requests arrive than can be served. A request waits only while it can still be served before its caller
+// disconnects. Otherwise it is refused at once with the time at which it could be served, so that the caller can come
+// back then or go elsewhere.
 //
 // Pure functions; safe to call from any thread.
 #pragma once
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -291,13 +291,9 @@
         notifySubscribers();
 }
 
-// Whether the configuration in force is newer than one with this version and revision. Within an era of the store the
-// revision decides, over eras the version.
-bool HubSync::isConfigurationNewerThan(int64_t version, int64_t revision) const
+gateway::ConfigurationStamp HubSync::configurationStamp() const
 {
-    if (!m_configuration || coordination::revisionEra(revision) == coordination::revisionEra(m_configurationRevision))
-        return m_configurationRevision > revision;
-    return std::tuple(m_configuration->version, m_configurationRevision) > std::tuple(version, revision);
+    return { m_configuration ? m_configuration->version : 0, m_configurationRevision };
 }
 
 void HubSync::applyConfiguration(const std::string& value, int64_t revision)
@@ -309,7 +305,8 @@
     std::string fault;
     auto configuration = m_codec.readConfiguration(value, fault);
     if (m_configuration && !isSameEra
-        && (!configuration || isConfigurationNewerThan(configuration->version, revision))) {
+        && (!configuration
+            || !gateway::configurationIsNewer({ configuration->version, revision }, configurationStamp()))) {
         m_ignoredConfigurationRevision = revision;
         base::logEvent(LogLevel::Warning, "configuration.older_ignored",
             { { "version", configuration ? configuration->version : -1 }, { "revision", revision },
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -32,10 +32,9 @@
 // Q: What does a daemon do during a store outage?  A: It serves on its current data up to the age limit. Replicas whose
 //    entries lapse in the meantime stay, see directory/Directory.h.
 //
-// Q: What if the store is restored from an older copy?  A: The era of the store rises, which ends the hub's term.
-// Nothing
-//    older replaces what is known: configurations of different eras are in the order of their versions, entries in the
-//    order in which their replicas wrote them. What the copy lacks of this system's own records is written again.
+// Q: What if the store is restored from an older copy?  A: Its era rises, which ends the hub's term. Nothing older
+//    replaces what is known: configurations of different eras are in the order of their versions, entries in the order
+//    in which their replicas wrote them. What the copy lacks of this system's own records is written again.
 //
 // All methods: own thread only. Those marked "suspends" need a fiber.
 #pragma once
@@ -235,7 +234,7 @@
     base::Duration currentSyncInterval() const;
     void applyStoreEntries(const coordination::KvRangeResult&, base::BootTime requestedAt);
     void applyConfiguration(const std::string& value, int64_t revision);
-    bool isConfigurationNewerThan(int64_t version, int64_t revision) const;
+    gateway::ConfigurationStamp configurationStamp() const; // of the one in force
     void updateStoreEra(int64_t era, base::BootTime now);
     void updateStoreReachable(bool isReachable);
     void logEntryFaults(const std::vector<directory::EntryFault>&);
@@ -273,7 +272,7 @@
     void applyMemberLimits(const std::string& from, const nlohmann::json& body, base::BootTime now);
     void addLimitsToReply(const nlohmann::json& asked, nlohmann::json& reply) const;
     void applyLimitsReply(const nlohmann::json& body, base::BootTime requestedAt, uint64_t sentSequence, bool isHub);
-    void limitsTold(const nlohmann::json& body, uint64_t sentSequence);
+    void recordLimitsTold(const nlohmann::json& body, uint64_t sentSequence);
     limits::PermitAnswer grantPermit(
         const std::string& replica, int64_t startedAtMillis, base::Duration maxWait, base::BootTime now);
     nlohmann::json handlePermitCall(const std::string& from, const nlohmann::json& body);
@@ -284,7 +283,7 @@
     void seeVersions(base::BootTime now);
     uint64_t addStreamsToRequest(nlohmann::json& body);
     void applyMemberStreams(const nlohmann::json& body, base::BootTime now);
-    void applyStreamsReply(const nlohmann::json& body, uint64_t sentSequence);
+    void recordStreamsTold(const nlohmann::json& body, uint64_t sentSequence);
     nlohmann::json handleStreamCall(const nlohmann::json& body);
     void applyStoredStreams(const coordination::KvEntry&, base::BootTime now);
     void storeStreams();
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -13,19 +13,15 @@
 
 namespace {
 
-    // `entry`: the orderer's record, or null if the store has none. A record that was written in an earlier era of the
-    // store may have had a successor since.
-    PreviousOrderer previousOrderer(const coordination::KvEntry* entry, const std::string& ownName, bool hasSeenRestore)
+    std::optional<OrdererRecord> readOrdererRecord(const std::vector<coordination::KvEntry>& entries)
     {
-        if (!entry)
-            return hasSeenRestore ? PreviousOrderer::Unknown : PreviousOrderer::Nobody;
-        Json json = Json::parse(entry->value, nullptr, false);
-        bool isObject = json.is_object();
-        std::string name = isObject ? json.value("name", "") : entry->value;
-        int64_t era = isObject ? json.value("era", int64_t(0)) : 0;
-        if (era != coordination::revisionEra(entry->modRevision))
-            return PreviousOrderer::Unknown;
-        return name == ownName ? PreviousOrderer::Self : PreviousOrderer::Another;
+        if (entries.empty())
+            return std::nullopt;
+        Json json = Json::parse(entries[0].value, nullptr, false);
+        // Earlier versions of this program wrote the name alone.
+        if (!json.is_object())
+            return OrdererRecord { entries[0].value, 0 };
+        return OrdererRecord { json.value("name", ""), json.value("era", int64_t(0)) };
     }
 
 } // namespace
@@ -107,7 +103,8 @@
     BootTime now = BootClock::now();
     PreviousOrderer previous = orderer.error != coordination::KvError::None
         ? PreviousOrderer::Unknown
-        : previousOrderer(orderer.entries.empty() ? nullptr : &orderer.entries[0], m_options.name, m_hasSeenRestore);
+        : previousOrderer(readOrdererRecord(orderer.entries), m_options.name,
+            coordination::revisionEra(m_term.fencingToken), m_hasSeenRestore);
     if (previous == PreviousOrderer::Nobody) {
         m_hubQuota.initialFraction = 1;
         m_hubQuota.electedAt = {};
--- a/src/hub/HubSyncInternal.h
+++ b/src/hub/HubSyncInternal.h
@@ -1,6 +1,9 @@
 // Internal to hub/: constants and helpers shared by the source files of HubSync. Constants are safe from any thread.
 #pragma once
 
+#include <chrono>
+
+#include "base/Text.h"
 #include "base/Time.h"
 #include "hub/HubSync.h"
 
@@ -33,4 +36,21 @@
     return std::chrono::duration_cast<base::Millis>(now - then).count();
 }
 
+inline int64_t ageMicros(base::BootTime now, base::BootTime then)
+{
+    return std::chrono::duration_cast<base::Micros>(now - then).count();
+}
+
+// Since the Unix epoch, by the time of day.
+inline base::Millis unixNow()
+{
+    return std::chrono::duration_cast<base::Millis>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+// Uniform in 0 to 1.
+inline double randomFraction()
+{
+    return static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
+}
+
 } // namespace rattanshunt::hub
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -169,9 +169,10 @@
         return reply;
     addPartsToReply(asked, reply, now);
     addLimitsToReply(asked, reply);
-    reply["age_us"] = std::chrono::duration_cast<base::Micros>(now - m_freshAsOf).count();
-    if (isConfigurationNewerThan(
-            asked.value("configuration_version", int64_t(0)), asked.value("configuration", int64_t(0)))) {
+    reply["age_us"] = ageMicros(now, m_freshAsOf);
+    gateway::ConfigurationStamp askedStamp { asked.value("configuration_version", int64_t(0)),
+        asked.value("configuration", int64_t(0)) };
+    if (gateway::configurationIsNewer(configurationStamp(), askedStamp)) {
         reply["configuration"] = m_configurationRevision;
         reply["configuration_value"]
             = Json::binary({ m_configurationCompressed.begin(), m_configurationCompressed.end() });
--- a/src/hub/HubSyncLimits.cpp
+++ b/src/hub/HubSyncLimits.cpp
@@ -15,20 +15,6 @@
 using limits::PermitAnswer;
 using Json = nlohmann::json;
 
-namespace {
-
-    int64_t ageMicros(BootTime now, BootTime then)
-    {
-        return std::chrono::duration_cast<base::Micros>(now - then).count();
-    }
-
-    double drawFraction()
-    {
-        return static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
-    }
-
-} // namespace
-
 // ---- Observations ------------------------------------------------------------------------------
 
 void HubSync::recordLimit(const LimitObservation& observation)
@@ -102,7 +88,7 @@
     body["limits_version"] = m_limits.hubVersion;
     Json rows = Json::array();
     for (const auto& [seen, sequence] : m_limits.recent) {
-        if (sequence > m_limits.toldSequence)
+        if (sequence > m_limits.told.sequence)
             rows.push_back({ seen.replica, seen.startedAtMillis, seen.rate.value_or(-1),
                 ageMicros(now, seen.requestedAt), ageMicros(now, seen.answeredAt), seen.answers });
     }
@@ -153,25 +139,16 @@
     reply["limits"] = Json { { "version", m_limits.ledger.version }, { "rows", std::move(rows) } };
 }
 
-// Marks the observations up to `sentSequence` as told to the hub that sent `body`.
-void HubSync::limitsTold(const Json& body, uint64_t sentSequence)
+void HubSync::recordLimitsTold(const Json& body, uint64_t sentSequence)
 {
-    std::string incarnation = body.at("start").get<std::string>();
-    if (incarnation == m_limits.toldIncarnation) {
-        m_limits.toldSequence = std::max(m_limits.toldSequence, sentSequence);
-        return;
-    }
-    // Another hub: it needs what the previous one was told of.
-    m_limits.toldSequence = 0;
-    m_limits.toldIncarnation = incarnation;
-    if (!m_limits.recent.empty())
+    if (!toldRecord(m_limits.told, body.at("start").get<std::string>(), sentSequence) && !m_limits.recent.empty())
         requestSync();
 }
 
 void HubSync::applyLimitsReply(const Json& body, BootTime requestedAt, uint64_t sentSequence, bool isHub)
 {
     if (isHub)
-        limitsTold(body, sentSequence);
+        recordLimitsTold(body, sentSequence);
     if (!body.contains("limits"))
         return;
     std::map<std::string, limits::ReplicaLimit> limits;
@@ -242,13 +219,13 @@
         net::PeerResult result
             = m_peers->call(m_hubRecord->address, "permit", body, base::Clock::now() + permitTimeout);
         if (result.error == net::PeerError::None && result.body.is_object() && result.body.value("hub", false)) {
-            limitsTold(result.body, sentSequence);
+            recordLimitsTold(result.body, sentSequence);
             return { result.body.value("granted", false), base::Micros(result.body.value("starts_in_us", int64_t(0))),
                 result.body.value("scheduled", false) };
         }
     }
     base::counterAdd("replica_permits_decided_alone_total");
-    return limits::shareTake(m_limits.shares[replica], rate, memberCount(), drawFraction(), BootClock::now());
+    return limits::shareTake(m_limits.shares[replica], rate, memberCount(), randomFraction(), BootClock::now());
 }
 
 void HubSync::returnPermit(const std::string& replica)
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -21,7 +21,7 @@
     BootTime now = BootClock::now();
     Json body { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubIncarnation },
         { "stamp", m_hubChangeSequence }, { "configuration", m_configurationRevision },
-        { "configuration_version", m_configuration ? m_configuration->version : 0 },
+        { "configuration_version", configurationStamp().version },
         { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
     if (!m_hubRecord || m_hubRecord->incarnation != m_hubIncarnation)
         body["digest"] = directory::directoryDigest(m_directory);
@@ -52,7 +52,7 @@
     std::map<std::string, double> unreported;
     Json body = isHub ? buildSyncRequest()
                       : Json { { "configuration", m_configurationRevision },
-                            { "configuration_version", m_configuration ? m_configuration->version : 0 } };
+                            { "configuration_version", configurationStamp().version } };
     uint64_t sentSequence = 0;
     uint64_t sentLimitSequence = 0;
     uint64_t sentStreamSequence = 0;
@@ -84,7 +84,7 @@
         applyPartsReply(result.body, requestedAt, sentSequence, isHub);
         applyLimitsReply(result.body, requestedAt, sentLimitSequence, isHub);
         if (isHub)
-            applyStreamsReply(result.body, sentStreamSequence);
+            recordStreamsTold(result.body, sentStreamSequence);
     } catch (const std::exception& error) {
         base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
             { { "peer", base::formatAddress(address) }, { "why", error.what() } });
@@ -233,12 +233,12 @@
         }
     }
     base::counterAdd("quota_decided_alone_total");
-    double randomFraction = static_cast<double>(base::stableHash(base::randomBytes(8)) % 10000) / 10000;
+    double drawn = randomFraction();
     if (quota::localQuotaSpendLowUsage(
-            m_localQuota, account.name, limit, tokens, memberCount(), randomFraction, BootClock::now()))
+            m_localQuota, account.name, limit, tokens, memberCount(), drawn, BootClock::now()))
         return true;
     return quota::localQuotaSpendFallback(
-        m_localQuota, account.name, limit, tokens, memberCount(), randomFraction, BootClock::now());
+        m_localQuota, account.name, limit, tokens, memberCount(), drawn, BootClock::now());
 }
 
 quota::AccountLimit HubSync::limitOf(const gateway::Account& account) const
--- a/src/hub/HubSyncParts.cpp
+++ b/src/hub/HubSyncParts.cpp
@@ -1,6 +1,4 @@
 // Prompt parts that end replicas: evidence from all daemons to the hub, blocks from the hub to all, and the store.
-#include <ctime>
-
 #include <fmt/format.h>
 
 #include "base/Counters.h"
@@ -17,12 +15,6 @@
 
 namespace {
 
-    base::Millis unixNow()
-    {
-        auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-        return std::chrono::duration_cast<base::Millis>(sinceEpoch);
-    }
-
     // The replicas that ended, each with the age of its end.
     std::string endsText(const std::vector<prompts::PartEnd>& ends, BootTime now)
     {
@@ -212,7 +204,7 @@
     body["parts_version"] = m_parts.hubVersion;
     Json ends = Json::array();
     for (const auto& [end, sequence] : m_parts.recentEnds) {
-        if (sequence > m_parts.toldSequence && now - end.observedAt <= prompts::observationMemory)
+        if (sequence > m_parts.told.sequence && now - end.observedAt <= prompts::observationMemory)
             ends.push_back(
                 { end.life.replica, end.life.startedAtMillis, ageMillis(now, end.observedAt), end.service, end.parts });
     }
@@ -235,16 +227,9 @@
 void HubSync::applyPartsReply(const Json& body, BootTime requestedAt, uint64_t sentSequence, bool isHub)
 {
     if (isHub) {
-        std::string incarnation = body.at("start").get<std::string>();
-        if (incarnation == m_parts.toldIncarnation)
-            m_parts.toldSequence = sentSequence;
-        else {
-            // Another hub: it needs the ends that the previous one was told of.
-            m_parts.toldSequence = 0;
-            m_parts.toldIncarnation = incarnation;
-            if (!m_parts.recentEnds.empty())
-                requestSync();
-        }
+        // Another hub needs the ends that the previous one was told of.
+        if (!toldRecord(m_parts.told, body.at("start").get<std::string>(), sentSequence) && !m_parts.recentEnds.empty())
+            requestSync();
     }
     if (!body.contains("parts"))
         return;
--- a/src/hub/HubSyncStreams.cpp
+++ b/src/hub/HubSyncStreams.cpp
@@ -1,6 +1,4 @@
 // Versions that began streams: from all daemons to the hub and the store, while a service has several.
-#include <ctime>
-
 #include <fmt/format.h>
 
 #include "base/Counters.h"
@@ -21,11 +19,6 @@
     constexpr base::Millis originCallInterval { 150 }; // a member may not have told the hub yet
     constexpr base::Millis originCallTimeout { 150 };
 
-    base::Millis unixNow()
-    {
-        return std::chrono::duration_cast<base::Millis>(std::chrono::system_clock::now().time_since_epoch());
-    }
-
     using OriginGroups = std::map<std::pair<std::string, std::string>, Json>; // by service and version
 
     Json groupsJson(OriginGroups& groups)
@@ -112,13 +105,13 @@
 uint64_t HubSync::addStreamsToRequest(Json& body)
 {
     if (!anyVersionsAreMixed())
-        return m_streams.toldSequence;
+        return m_streams.told.sequence;
     OriginGroups groups;
-    uint64_t sequence = m_streams.toldSequence;
+    uint64_t sequence = m_streams.told.sequence;
     size_t count = 0;
     for (const StreamSync::OwnOrigin& own : m_streams.recent) {
         auto origin = m_streams.origins.origins.find(own.key);
-        if (own.sequence <= m_streams.toldSequence || origin == m_streams.origins.origins.end())
+        if (own.sequence <= m_streams.told.sequence || origin == m_streams.origins.origins.end())
             continue;
         if (++count > maxOriginsPerCall)
             break;
@@ -142,12 +135,9 @@
     m_streams.hasNewOrigins = true;
 }
 
-void HubSync::applyStreamsReply(const Json& body, uint64_t sentSequence)
+void HubSync::recordStreamsTold(const Json& body, uint64_t sentSequence)
 {
-    std::string incarnation = body.at("start").get<std::string>();
-    // Another hub needs what the previous one was told of.
-    m_streams.toldSequence = incarnation == m_streams.toldIncarnation ? sentSequence : 0;
-    m_streams.toldIncarnation = incarnation;
+    toldRecord(m_streams.told, body.at("start").get<std::string>(), sentSequence);
 }
 
 Json HubSync::handleStreamCall(const Json& body)
@@ -220,6 +210,7 @@
         base::logEvent(LogLevel::Info, "stream.versions_mixed", { { "versions", mixture }, { "streams", count } });
     auto written = m_kv.txn({ { hubKey, m_term.fencingToken } },
         { { streamsKey, Json { { "versions", std::move(versions) }, { "streams", groupsJson(groups) } }.dump(), 0 } });
+    // A write whose outcome is unknown is made again with the next one.
     if (written.error != coordination::KvError::None || !written.isApplied) {
         m_streams.hasNewOrigins = true;
         return;
--- a/src/hub/HubTerm.h
+++ b/src/hub/HubTerm.h
@@ -2,12 +2,12 @@
 //
 // Contents
 //   [1] Term            HubTerm, termBegin(), termRenewed(), termIsOver(), termMayOrder()
-//   [2] Succession      PreviousOrderer, termOrdersAllowedAt(), campaignDelay()
+//   [2] Succession      PreviousOrderer, OrdererRecord, previousOrderer(), termOrdersAllowedAt(), campaignDelay()
 //   [3] Freshness       freshAsOfRead(), freshAsOfPeer(), isFresh()
 //
 // Load pattern: replicas crash and models move while the hub is suspended, partitioned from the store or restarted. Two
 // hubs that issue orders at once would load a model twice or overcommit memory. A hub that waits too long keeps
-// requests waiting.
+// requests waiting. The store is restored from an older copy, with records of earlier hubs or none.
 //
 // All times are of a clock that also runs while the machine is suspended. Lease validity and data age count from the
 // time the request was sent, never from the response. A daemon that was suspended between the two therefore errs on the
@@ -18,6 +18,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
+#include <string>
 
 #include "base/Time.h"
 
@@ -74,9 +76,27 @@
     Nobody, // no orders were ever issued
     Self,   // this daemon, possibly an earlier process of it
     Another,
-    Unknown, // the record could not be read
+    Unknown, // the record could not be read, or may not be the last one
 };
 
+// `rs/orderer` as read from the store.
+struct OrdererRecord {
+    std::string name;
+    int64_t era = 0; // of the store when the record was written
+};
+
+// `record` is empty if the store has none. A record of an earlier era of the store may have had a successor that the
+// store has lost. `hasSeenRestore`: the store was restored from a copy while this process ran.
+inline PreviousOrderer previousOrderer(
+    const std::optional<OrdererRecord>& record, const std::string& ownName, int64_t storeEra, bool hasSeenRestore)
+{
+    if (!record)
+        return hasSeenRestore ? PreviousOrderer::Unknown : PreviousOrderer::Nobody;
+    if (record->era != storeEra)
+        return PreviousOrderer::Unknown;
+    return record->name == ownName ? PreviousOrderer::Self : PreviousOrderer::Another;
+}
+
 // Orders of another daemon may be in flight until its lease has surely expired, so a new hub waits `handoverDelay`. The
 // record that names this daemon is written after that wait and before its first order. If it were written earlier, a
 // restart of this daemon would find its own name and issue orders without waiting.
--- a/src/hub/LimitSync.h
+++ b/src/hub/LimitSync.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "hub/ToldState.h"
 #include "limits/ReplicaLimits.h"
 
 namespace rattanshunt::hub {
@@ -24,8 +25,7 @@
     std::deque<SentObservation> recent; // of this daemon, oldest first
     uint64_t lastSequence = 0;          // of `recent`
     uint64_t sentSequence = 0;          // of the last observation that is in a call to a hub
-    uint64_t toldSequence = 0;          // the hub has been told of the observations up to this one
-    std::string toldIncarnation;        // of that hub
+    ToldState told;                     // of `recent`
     std::map<std::string, limits::PermitSchedule> schedules; // by replica; hub only
     std::map<std::string, limits::PermitShare> shares;       // by replica; while the hub is not reachable
     std::map<std::string, int> unusedPermits;                // by replica; to be returned to the hub
--- a/src/hub/PartSync.h
+++ b/src/hub/PartSync.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "hub/ToldState.h"
 #include "prompts/PartLedger.h"
 
 namespace rattanshunt::hub {
@@ -24,8 +25,7 @@
     uint64_t hubVersion = 0;                // of the hub's view, as last sent
     std::deque<SentEnd> recentEnds;         // of this daemon, oldest first
     uint64_t lastSequence = 0;              // of recentEnds
-    uint64_t toldSequence = 0;              // the hub has been told of the ends up to this one
-    std::string toldIncarnation;            // of that hub
+    ToldState told;                         // of recentEnds
     std::map<prompts::PartKey, int> stored; // blocks by part, as last seen in the store
     int64_t storedRevision = 0;             // 0: the key does not exist
     std::optional<int64_t> storedEra;       // of the store when `stored` was read
--- a/src/hub/StreamSync.h
+++ b/src/hub/StreamSync.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <string>
 
+#include "hub/ToldState.h"
 #include "streams/StreamOrigins.h"
 
 namespace rattanshunt::hub {
@@ -22,10 +23,9 @@
     streams::VersionHistory versions; // of all services
     std::deque<OwnOrigin> recent;     // of this daemon, oldest first
     uint64_t lastSequence = 0;        // of `recent`
-    uint64_t toldSequence = 0;        // the hub has been told of the origins up to this one
-    std::string toldIncarnation;      // of that hub
-    bool hasNewOrigins = false;       // since the hub wrote the record; hub only
-    int64_t storedRevision = 0;       // of the record; 0: the store has none
+    ToldState told;                   // of `recent`
+    bool hasNewOrigins = false;       // since this daemon, as hub, wrote the record
+    int64_t storedRevision = 0;       // of the record, as last read or written; 0: the store has none
     std::string storedMixture;        // services with several versions, as in the record
 };
 
--- a/src/limits/ReplicaLimits.h
+++ b/src/limits/ReplicaLimits.h
@@ -33,13 +33,11 @@
 
 // ---- [1] Ledger --------------------------------------------------------------------------------
 
-constexpr int answersToLift = 3;            // without a limit, to requests sent after the last naming
-constexpr base::Millis liftDelay { 2000 };  // minimum time since the last naming
-constexpr base::Seconds forgetDelay { 10 }; // after which the limit of a replica that is not listed is dropped
-constexpr double minPermitRate = 0.25;      // permits per second for a replica that accepts less
-constexpr base::Millis reportInterval {
-    2000
-}; // between two reports or polls of a limited replica; they need no permit
+constexpr int answersToLift = 3;                // without a limit, to requests sent after the last naming
+constexpr base::Millis liftDelay { 2000 };      // minimum time since the last naming
+constexpr base::Seconds forgetDelay { 10 };     // after which the limit of a replica that is not listed is dropped
+constexpr double minPermitRate = 0.25;          // permits per second for a replica that accepts less
+constexpr base::Millis reportInterval { 2000 }; // between two reports of a limited replica, which need no permit
 
 // What one response, or several without a limit, said of a replica's rate.
 struct LimitObservation {
--- a/src/models/ModelPlan.h
+++ b/src/models/ModelPlan.h
@@ -12,6 +12,10 @@
 // expressed as the number of requests that wait for their first byte at any moment: by Little's law, the arrival rate
 // times the time that each request waits.
 //
+// A replica limits its request rate, and requests wait for its models although it holds them. It gets no orders. A
+// model whose copies are all on such replicas gets another one where the unloaded models cost less than requests wait
+// for it.
+//
 // Memory left free by a crash or on a new replica is filled before anything is requested, from host memory and disk
 // first.
 //
--- a/tests/ReplicaLimitsTests.cpp
+++ b/tests/ReplicaLimitsTests.cpp
@@ -2,6 +2,7 @@
 #include <random>
 
 #include "Support.h"
+#include "gateway/ReplicaSelection.h"
 #include "gateway/WaitPolicy.h"
 #include "limits/ReplicaLimits.h"
 
@@ -136,3 +137,20 @@
     inputs.permitIn = base::Millis(500);
     cr_assert(gateway::waitDecide(inputs, {}).mayWait);
 }
+
+// A limited replica is spared until the others are that much busier.
+Test(replica_selection, a_limited_replica_gets_what_the_others_are_too_busy_for)
+{
+    gateway::ReplicaSelectionOptions options;
+    gateway::ReplicaCandidate limited;
+    limited.id = "limited";
+    limited.slots = 10;
+    limited.isLimited = true;
+    gateway::ReplicaCandidate other = limited;
+    other.id = "other";
+    other.isLimited = false;
+    other.ownInFlight = 2;
+    cr_assert_eq(*gateway::replicaSelect({ limited, other }, {}, options), 1);
+    other.ownInFlight = 4;
+    cr_assert_eq(*gateway::replicaSelect({ limited, other }, {}, options), 0);
+}
--- a/tests/StoreEraTests.cpp
+++ b/tests/StoreEraTests.cpp
@@ -1,9 +1,12 @@
-// Replicas' entries over eras of the store: what a copy holds is older than what is known, although it is read later.
+// Replicas' entries, configurations and the orderer's record over eras of the store: what a copy holds is older than
+// what is known, although it is read later.
 #include <fmt/format.h>
 
 #include "Support.h"
 #include "coordination/Kv.h"
 #include "directory/Directory.h"
+#include "gateway/Configuration.h"
+#include "hub/HubTerm.h"
 #include "platform/PlatformCodec.h"
 
 using namespace rattanshunt;
@@ -102,3 +105,28 @@
     fixture.list(revisionInEra(2, 22), { EraFixture::entry(revisionInEra(2, 20), 4) });
     cr_expect_not(fixture.isUsable());
 }
+
+Test(store_era, configurations_of_different_eras_are_in_the_order_of_their_versions)
+{
+    using gateway::configurationIsNewer;
+    gateway::ConfigurationStamp inForce { 16, revisionInEra(1, 68) };
+    cr_expect_not(configurationIsNewer({ 13, revisionInEra(2, 50) }, inForce), "the copy's");
+    cr_expect(configurationIsNewer(inForce, { 13, revisionInEra(2, 50) }), "at a daemon that has read the copy only");
+    cr_expect(configurationIsNewer({ 16, revisionInEra(2, 60) }, inForce), "written again, perhaps with another text");
+    cr_expect(configurationIsNewer({ 17, revisionInEra(2, 61) }, inForce), "at a lower revision number");
+    cr_expect(configurationIsNewer({ 15, revisionInEra(1, 69) }, inForce), "within an era the store's order counts");
+    cr_expect_not(configurationIsNewer(inForce, inForce));
+    cr_expect(configurationIsNewer(inForce, {}), "there is none yet");
+}
+
+// The copy names an earlier orderer, this daemon itself perhaps, or none.
+Test(store_era, orders_wait_if_the_record_of_the_last_orderer_may_be_a_copy)
+{
+    using hub::PreviousOrderer;
+    using hub::previousOrderer;
+    cr_expect(previousOrderer(hub::OrdererRecord { "d1", 1 }, "d1", 1, false) == PreviousOrderer::Self);
+    cr_expect(previousOrderer(hub::OrdererRecord { "d2", 1 }, "d1", 1, false) == PreviousOrderer::Another);
+    cr_expect(previousOrderer(hub::OrdererRecord { "d1", 1 }, "d1", 2, false) == PreviousOrderer::Unknown);
+    cr_expect(previousOrderer(std::nullopt, "d1", 1, false) == PreviousOrderer::Nobody);
+    cr_expect(previousOrderer(std::nullopt, "d1", 2, true) == PreviousOrderer::Unknown);
+}
