--- /dev/null
+++ b/review/standins/Cases.cpp
@@ -0,0 +1,330 @@
+#include "Cases.h"
+
+#include <csignal>
+#include <iostream>
+#include <set>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Callers.h"
+#include "EngineReplica.h"
+#include "Fleet.h"
+
+namespace rattanshunt::review {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr base::Millis entryInterval { 1200 }; // between two entries of a replica, as in the settings
+
+    // Prints the verdict and records it.
+    int verdict(Record& record, bool isBroken, const std::string& text)
+    {
+        record.write((isBroken ? "RULE BROKEN: " : "the rule held: ") + text);
+        std::cout << (isBroken ? "RULE BROKEN: " : "the rule held: ") << text << "\n";
+        return isBroken ? ruleBroken : ruleHeld;
+    }
+
+    constexpr int maxLost = 3;           // LOST: more than three times
+    constexpr int ownEndsPerMachine = 3; // Fault: three times
+    constexpr int machinesWithEnds = 2;  // Fault: on a tenth of the machines, two at least
+
+    // Requests from kept channels that ran at a replica, and whose channel was closed without an answer.
+    int countLost(Record& record, const Callers& callers, const std::set<std::string>& executed)
+    {
+        int lost = 0;
+        for (const auto& [id, request] : callers.sent()) {
+            if (request.status || !request.isOnKeptConnection || !executed.contains(id))
+                continue;
+            ++lost;
+            record.write(fmt::format(
+                "request {} ran at a replica, and {} closed its channel without an answer", id, request.daemon));
+        }
+        return lost;
+    }
+
+    int countMachinesWithEnds(Record& record, Fleet& fleet)
+    {
+        int machines = 0;
+        for (auto& daemon : fleet.daemons()) {
+            record.write(fmt::format("process {} ended {} times by itself, its largest resident size was {} KB",
+                daemon->name, daemon->ownEnds, daemon->peakKb));
+            machines += daemon->ownEnds >= ownEndsPerMachine;
+        }
+        return machines;
+    }
+
+    std::string endsText(int lost, int machines, Fleet& fleet)
+    {
+        return fmt::format("{} requests from kept channels ran and their channels were closed without an answer "
+                           "(allowed {}); on {} of {} machines the process ended by itself {} times or more",
+            lost, maxLost, machines, fleet.daemons().size(), ownEndsPerMachine);
+    }
+
+    // Replicas with their entries in the store, which each writes again in every interval while it runs.
+    struct Replicas {
+        Replicas(net::Loop& eventLoop, lab::StoreStandIn& storeStandIn)
+            : loop(eventLoop)
+            , store(storeStandIn)
+        {
+        }
+
+        lab::ReplicaStandIn& add(lab::ReplicaStandInOptions options)
+        {
+            std::string error;
+            all.push_back(std::make_unique<lab::ReplicaStandIn>(loop, std::move(options)));
+            lab::ReplicaStandIn& replica = *all.back();
+            replica.listen(error);
+            publish(replica);
+            return replica;
+        }
+
+        void publish(lab::ReplicaStandIn& replica) { store.put("servers/" + replica.id(), replica.entry()); }
+
+        void stop()
+        {
+            for (auto& replica : all)
+                replica->stop();
+        }
+
+        net::Loop& loop;
+        lab::StoreStandIn& store;
+        std::vector<std::unique_ptr<lab::ReplicaStandIn>> all;
+    };
+
+    // ---- Case: an entry of another writer --------------------------------------------------
+
+    // An entry in which the field `adapters` of a model has another type: arrays in arrays.
+    std::string foreignEntry(int depth)
+    {
+        std::string nested
+            = std::string(static_cast<size_t>(depth), '[') + std::string(static_cast<size_t>(depth), ']');
+        return R"({"service":"plain","address":"127.0.0.1:1","zone":"zone-1","version":"v1","slots":8,"state":"ready",)"
+               R"("coldLeftMs":0,"sequence":1,"born":1700000000000,"models":[{"name":"m1","version":1,"adapters":)"
+            + nested + "}]}";
+    }
+
+    int runForeignEntry(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr int depth = 20000;
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        Replicas replicas(loop, fleet.store());
+        for (const char* id : { "i-1", "i-2" }) {
+            lab::ReplicaStandInOptions options;
+            options.id = id;
+            options.processingTime = base::Millis(400);
+            replicas.add(options);
+        }
+        if (!fleet.waitReady())
+            return cannotRun;
+        CallerOptions callerOptions;
+        callerOptions.kinds = { { "safe", "" }, { "once", "" } };
+        Callers callers(loop, fleet, record, callerOptions);
+        callers.start();
+        net::sleepFor(base::Seconds(6)); // the machines are in touch
+        if (hasTrouble) {
+            record.write(fmt::format("another writer writes servers/other, {} bytes", foreignEntry(depth).size()));
+            fleet.store().put("servers/other", foreignEntry(depth));
+        }
+        net::sleepFor(base::Seconds(12));
+        callers.stop();
+        std::set<std::string> executed;
+        for (auto& replica : replicas.all) {
+            for (const lab::RequestExecution& execution : replica->history().executions)
+                executed.insert(execution.requestId);
+        }
+        int lost = countLost(record, callers, executed);
+        int machines = countMachinesWithEnds(record, fleet);
+        fleet.stop();
+        replicas.stop();
+        return verdict(record, lost > maxLost || machines >= machinesWithEnds,
+            fmt::format("{} requests sent, {} served; ", callers.sent().size(), callers.servedCount())
+                + endsText(lost, machines, fleet));
+    }
+
+    // ---- Case: large requests ----------------------------------------------------------------
+
+    // A plain replica that takes large bodies: lab::ReplicaStandIn accepts 1 MB.
+    struct LargeBodyReplica {
+        std::string id;
+        base::Millis processingTime { 1000 };
+        std::optional<net::HttpServerHandle> server;
+        std::set<std::string> executed; // ids of requests
+
+        bool listen(net::Loop& loop, size_t maxBodyBytes)
+        {
+            net::HttpServerEvents events;
+            events.onRequest = [this](net::HttpExchange& exchange) {
+                std::string requestId(net::httpHeader(exchange.request().headers, "Request-Id"));
+                if (net::httpHeader(exchange.request().headers, "Expect-Instance") != id) {
+                    exchange.respond({ 421, { { "Instance-Id", id } }, "" });
+                    return;
+                }
+                executed.insert(requestId);
+                net::sleepFor(processingTime);
+                exchange.respond({ 200, { { "Request-Id", requestId }, { "Server-Seal", "seal" } }, "done" });
+            };
+            events.onMalformed = [](int status, std::string_view) { return net::HttpResponse { status, {}, "" }; };
+            net::HttpServerLimits limits;
+            limits.maxBodyBytes = maxBodyBytes;
+            std::string error;
+            server = net::httpServe(loop, { "127.0.0.1", 0 }, limits, std::move(events), error);
+            return server.has_value();
+        }
+
+        std::string entry(int sequence) const
+        {
+            return Json {
+                { "service", "plain" }, { "address", base::formatAddress(server->address) }, { "zone", "zone-1" },
+                { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "coldLeftMs", 0 },
+                { "sequence", sequence }, { "born", 1700000000000 }
+            }.dump();
+        }
+    };
+
+    int runLargeRequests(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr int usualCallers = 3; // of each daemon
+        constexpr int timesUsual = 7;   // hot_tenant
+        constexpr size_t maxBodyBytes = 4194304;
+        FleetOptions options;
+        options.memoryLimitMb = 182; // limits.memoryMb
+        Fleet fleet(loop, options, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        std::vector<LargeBodyReplica> replicas(2);
+        for (size_t i = 0; i < replicas.size(); ++i) {
+            replicas[i].id = fmt::format("i-{}", i + 1);
+            replicas[i].listen(loop, maxBodyBytes);
+            fleet.store().put("servers/" + replicas[i].id, replicas[i].entry(1));
+        }
+        if (!fleet.waitReady())
+            return cannotRun;
+        CallerOptions callerOptions;
+        callerOptions.kinds = { { "safe", "" }, { "once", "" } };
+        callerOptions.bodyBytes = maxBodyBytes - 1024;
+        callerOptions.callersPerDaemon = usualCallers;
+        Callers usual(loop, fleet, record, callerOptions);
+        usual.start();
+        net::sleepFor(base::Seconds(6));
+        callerOptions.callersPerDaemon = usualCallers * (timesUsual - 1);
+        callerOptions.idPrefix = "1111";
+        Callers more(loop, fleet, record, callerOptions);
+        if (hasTrouble)
+            more.start();
+        net::sleepFor(base::Millis(6500)); // hot_tenant
+        more.stop();
+        net::sleepFor(base::Seconds(3));
+        usual.stop();
+        std::set<std::string> executed;
+        for (const LargeBodyReplica& replica : replicas)
+            executed.insert(replica.executed.begin(), replica.executed.end());
+        int lost = countLost(record, usual, executed) + countLost(record, more, executed);
+        int machines = countMachinesWithEnds(record, fleet);
+        fleet.stop();
+        return verdict(record, lost > maxLost || machines >= machinesWithEnds,
+            fmt::format("{} requests sent, {} served; ", usual.sent().size() + more.sent().size(),
+                usual.servedCount() + more.servedCount())
+                + endsText(lost, machines, fleet));
+    }
+
+    // ---- Case: a late order after a long restart ------------------------------------------------
+
+    // The routes of lab::labConfiguration() before an engine with models and memory as in sachhem-core.
+    std::string largeModelConfiguration(const std::map<std::string, double>& modelMb)
+    {
+        Json json = Json::parse(lab::labConfiguration(1));
+        for (Json& service : json.at("services")) {
+            if (!service.contains("engine"))
+                continue;
+            Json& engine = service.at("engine");
+            engine["slots"] = 64;
+            engine["kvCapacity"] = 232000;
+            engine["weightsMb"] = 140000;
+            engine["adapterSlots"] = 8;
+            engine["loadsPerS"] = 4.2;
+            engine["models"] = Json::array();
+            for (const auto& [model, size] : modelMb)
+                engine["models"].push_back({ { "name", model }, { "weightsMb", size }, { "loadS", 6 },
+                    { "diskS", 0.84 }, { "warmS", 0.4 }, { "adapters", 0 }, { "adapterMb", 66 } });
+        }
+        for (Json& route : json.at("routes"))
+            route["timeoutMs"] = 6000;
+        return json.dump();
+    }
+
+    int runLateOrder(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr base::Millis lateDelay { 11500 }; // applied_late: 2 to 12 s
+        constexpr int lateEveryNth = 2;             // a share of 0.5
+        constexpr base::Millis downTime { 4500 };   // srv_crash
+        const std::map<std::string, double> modelMb { { "m1", 72700 }, { "m2", 72700 }, { "m3", 72700 } };
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", largeModelConfiguration(modelMb));
+        EngineReplicaOptions options;
+        options.id = "i-1";
+        options.modelMb = modelMb;
+        options.loaded = { "m1" };
+        EngineReplica replica(loop, fleet.store(), record, options);
+        if (!replica.start() || !fleet.waitReady())
+            return cannotRun;
+        net::sleepFor(base::Seconds(4));
+        CallerOptions second;
+        second.callersPerDaemon = 1;
+        second.kinds = { { "stream", "m2" } };
+        Callers askSecond(loop, fleet, record, second);
+        if (hasTrouble)
+            replica.setLate(lateEveryNth, lateDelay);
+        askSecond.start();
+        for (int i = 0; i < 300 && !replica.holds("m2"); ++i)
+            net::sleepFor(base::Millis(20));
+        bool isLoaded = replica.holds("m2");
+        replica.setLate(0, lateDelay);
+        askSecond.stop();
+        replica.crash();
+        net::sleepFor(downTime);
+        replica.restart();
+        CallerOptions third;
+        third.callersPerDaemon = 1;
+        third.idPrefix = "1111";
+        third.kinds = { { "stream", "m3" } };
+        Callers askThird(loop, fleet, record, third);
+        askThird.start();
+        net::sleepFor(base::Seconds(12));
+        askThird.stop();
+        int orders = replica.orderCount();
+        int unanswered = replica.unansweredCount();
+        bool isOvercommitted = replica.wasOvercommitted();
+        fleet.stop();
+        if (!isLoaded || (hasTrouble && !unanswered))
+            return cannotRun;
+        return verdict(record, isOvercommitted,
+            fmt::format(
+                "{} orders, {} unanswered; the replica was {}ordered to load more than it holds; {} requests for "
+                "m3 sent, {} served",
+                orders, unanswered, isOvercommitted ? "" : "not ", askThird.sent().size(), askThird.servedCount()));
+    }
+
+} // namespace
+
+int runCase(net::Loop& loop, const std::string& name, const std::string& recordPath, bool hasTrouble)
+{
+    Record record(recordPath);
+    if (name == "foreign-entry")
+        return runForeignEntry(loop, record, hasTrouble);
+    if (name == "late-order")
+        return runLateOrder(loop, record, hasTrouble);
+    if (name == "large-requests")
+        return runLargeRequests(loop, record, hasTrouble);
+    return cannotRun;
+}
+
+} // namespace rattanshunt::review
