--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -313,6 +313,132 @@
                 orders, unanswered, isOvercommitted ? "" : "not ", askThird.sent().size(), askThird.servedCount()));
     }
 
+    // ---- Case: streams that are taken up while their model is missing ---------------------------
+
+    // A client's stream over all its tries.
+    struct TakenUpStream {
+        std::string id;
+        std::set<std::string> versions; // of the replicas' software, of all its events
+        int lastEvent = 0;
+        int status = 0; // of the last try
+    };
+
+    // One try; false if the channel ended before the stream did.
+    bool readStream(net::Loop& loop, const base::Address& daemon, TakenUpStream& stream, bool isTakeUp, Record& record)
+    {
+        constexpr base::Seconds timeLimit { 15 };
+        std::string id = stream.id + (isTakeUp ? "2" : "1");
+        net::HttpRequest call = lab::labRequest("/stream/", id, "m1");
+        for (net::HttpHeader& header : call.headers) {
+            if (header.name == "Deadline-Ms")
+                header.value = isTakeUp ? "10000" : "15000";
+        }
+        if (isTakeUp) {
+            call.headers.push_back({ "Last-Event-Id", std::to_string(stream.lastEvent) });
+            call.headers.push_back({ "Resumes", stream.id + "1" });
+        }
+        auto connection = net::HttpConnection::create(loop, daemon);
+        base::TimePoint deadline = base::Clock::now() + timeLimit;
+        net::HttpResponse response;
+        stream.status = 0;
+        bool isEnd = false;
+        std::string text;
+        if (connection->connect(deadline) == net::HttpCallError::None
+            && connection->send(call, deadline) == net::HttpCallError::None
+            && connection->readHead(response, deadline) == net::HttpCallError::None) {
+            stream.status = response.status;
+            while (!isEnd && connection->readSome(text, isEnd, deadline) == net::HttpCallError::None) { }
+        }
+        std::string versions;
+        for (size_t at = text.find("id: "); response.status == 200 && at != std::string::npos;
+             at = text.find("id: ", at + 1)) {
+            size_t data = text.find("data: ", at);
+            size_t end = text.find("\n\n", at);
+            if (data == std::string::npos || end == std::string::npos)
+                break;
+            stream.lastEvent = std::stoi(text.substr(at + 4));
+            std::string version = text.substr(data + 6, text.find(' ', data + 6) - data - 6);
+            stream.versions.insert(version);
+            versions += version + " ";
+        }
+        record.write(fmt::format("request {}{} at {}: status {}, {}, events of versions {}up to event {}", id,
+            isTakeUp ? " takes up " + stream.id + "1" : "", base::formatAddress(daemon), stream.status,
+            isEnd ? "whole" : "broken off", versions, stream.lastEvent));
+        return isEnd && response.status == 200;
+    }
+
+    int runTakeUp(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr int streams = 8;
+        constexpr int maxMixed = 2;              // ORDER: more than two streams
+        constexpr base::Millis downTime { 600 }; // srv_crash
+        const std::map<std::string, double> modelMb { { "m1", 72700 }, { "m2", 72700 } };
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        Json configuration = Json::parse(largeModelConfiguration(modelMb));
+        for (Json& route : configuration.at("routes")) {
+            route["timeoutMs"] = 15000;
+            route["targetLatencyMs"] = 600;
+            route["maxAttempts"] = 1;
+            if (route.contains("targetGapMs"))
+                route["targetGapMs"] = 600;
+        }
+        fleet.store().put("op/config", configuration.dump());
+        EngineReplicaOptions options;
+        options.modelMb = modelMb;
+        options.events = 40;
+        options.timePerEvent = base::Millis(100);
+        options.id = "i-1";
+        options.loaded = { "m1" };
+        EngineReplica first(loop, fleet.store(), record, options);
+        options.id = "i-2";
+        options.loaded = { "m2" };
+        EngineReplica second(loop, fleet.store(), record, options);
+        if (!first.start() || !second.start() || !fleet.waitReady())
+            return cannotRun;
+        net::sleepFor(base::Seconds(4));
+        Daemon* hub = fleet.hub();
+        std::vector<Daemon*> members;
+        for (auto& daemon : fleet.daemons()) {
+            if (daemon.get() != hub)
+                members.push_back(daemon.get());
+        }
+        if (!hub || members.size() < 2)
+            return cannotRun;
+        std::vector<TakenUpStream> all(streams);
+        int running = streams;
+        for (int i = 0; i < streams; ++i) {
+            all[static_cast<size_t>(i)].id = fmt::format("{:015x}", i + 1);
+            loop.spawn([&, &stream = all[static_cast<size_t>(i)]] {
+                // Retries reach other daemons.
+                if (!readStream(loop, members[0]->clientAddress, stream, false, record) && stream.lastEvent)
+                    readStream(loop, members[1]->clientAddress, stream, true, record);
+                --running;
+            });
+        }
+        net::sleepFor(base::Millis(1500));
+        if (hasTrouble) {
+            first.crash();
+            net::sleepFor(downTime);
+            first.restartAs("i-3", "v2");
+        }
+        while (running)
+            net::sleepFor(base::Millis(20));
+        int mixed = 0;
+        int begun = 0;
+        for (const TakenUpStream& stream : all) {
+            mixed += stream.versions.size() > 1;
+            begun += stream.lastEvent > 0;
+        }
+        fleet.stop();
+        if (begun < streams)
+            return cannotRun;
+        return verdict(record, mixed > maxMixed,
+            fmt::format("{} of {} streams hold events of replicas of two software versions (allowed {})", mixed,
+                streams, maxMixed));
+    }
+
 } // namespace
 
 int runCase(net::Loop& loop, const std::string& name, const std::string& recordPath, bool hasTrouble)
@@ -320,6 +446,8 @@
     Record record(recordPath);
     if (name == "foreign-entry")
         return runForeignEntry(loop, record, hasTrouble);
+    if (name == "take-up")
+        return runTakeUp(loop, record, hasTrouble);
     if (name == "late-order")
         return runLateOrder(loop, record, hasTrouble);
     if (name == "large-requests")
--- a/review/standins/EngineReplica.cpp
+++ b/review/standins/EngineReplica.cpp
@@ -53,8 +53,8 @@
 {
     m_store.put("servers/" + m_options.id,
         Json { { "service", m_options.service }, { "address", base::formatAddress(m_address) }, { "zone", "zone-1" },
-            { "version", "v1" }, { "slots", 64 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "models", models() },
-            { "sequence", ++m_entrySequence }, { "born", m_bornMillis } }
+            { "version", m_options.version }, { "slots", 64 }, { "state", "ready" }, { "coldLeftMs", 0 },
+            { "models", models() }, { "sequence", ++m_entrySequence }, { "born", m_bornMillis } }
             .dump());
 }
 
@@ -72,12 +72,12 @@
     m_isUp = false;
     m_server->stopAccepting();
     m_server->closeAll();
-    m_loop.spawn([this, born = m_bornMillis] {
+    m_loop.spawn([this, id = m_options.id, born = m_bornMillis] {
         net::sleepFor(entryInterval * intervalsToLapse);
-        if (m_isUp || born != m_bornMillis)
+        if (id == m_options.id && (m_isUp || born != m_bornMillis))
             return;
-        m_store.remove("servers/" + m_options.id);
-        m_record.write(fmt::format("the entry of replica {} is removed", m_options.id));
+        m_store.remove("servers/" + id);
+        m_record.write(fmt::format("the entry of replica {} is removed", id));
     });
 }
 
@@ -92,7 +92,14 @@
     m_running = 0;
     listen();
     publish();
-    m_record.write(fmt::format("replica {} has started again, empty", m_options.id));
+    m_record.write(fmt::format("replica {} of version {} has started, empty", m_options.id, m_options.version));
+}
+
+void EngineReplica::restartAs(const std::string& id, const std::string& version)
+{
+    m_options.id = id;
+    m_options.version = version;
+    restart();
 }
 
 void EngineReplica::setLate(int everyNth, base::Millis delay)
@@ -135,9 +142,11 @@
         { { "Request-Id", id }, { "Server-Seal", "seal" }, { "Content-Type", "text/event-stream" },
             { "Server-Load", fmt::format("{},0,64", m_running) } });
     std::string last(net::httpHeader(request.headers, "Last-Event-Id"));
+    m_record.write(fmt::format("replica {} of version {} runs {} after event {}", m_options.id, m_options.version, id,
+        last.empty() ? "0" : last));
     for (int event = last.empty() ? 1 : std::stoi(last) + 1; isWhole && event <= m_options.events; ++event) {
         net::sleepFor(m_options.timePerEvent);
-        isWhole = exchange.sendChunk(fmt::format("id: {}\ndata: piece {}\n\n", event, event));
+        isWhole = exchange.sendChunk(fmt::format("id: {}\ndata: {} piece {}\n\n", event, m_options.version, event));
     }
     if (isWhole)
         isWhole = exchange.finishStream();
--- a/review/standins/EngineReplica.h
+++ b/review/standins/EngineReplica.h
@@ -20,6 +20,7 @@
 struct EngineReplicaOptions {
     std::string id;
     std::string service = "engine";
+    std::string version = "v1"; // of its software
     double weightsMb = 140000;
     std::map<std::string, double> modelMb;
     std::set<std::string> loaded;  // at the first start
@@ -32,9 +33,11 @@
 public:
     EngineReplica(net::Loop&, lab::StoreStandIn&, Record&, EngineReplicaOptions);
 
-    bool start();                                   // listens, writes its entry, and writes it again in each interval
-    void crash();                                   // closes all connections; its entry lapses after three intervals
-    void restart();                                 // a new lifetime under the same identifier, with nothing loaded
+    bool start();   // listens, writes its entry, and writes it again in each interval
+    void crash();   // closes all connections; its entry lapses after three intervals
+    void restart(); // a new lifetime under the same identifier, with nothing loaded; its disk is kept
+    // The same under another identifier, with another version of the software.
+    void restartAs(const std::string& id, const std::string& version);
     void setLate(int everyNth, base::Millis delay); // orders that get no answer; 0: none
 
     bool wasOvercommitted() const { return m_wasOvercommitted; }
