--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -1,10 +1,11 @@
 #include "Cases.h"
 
-#include <csignal>
+#include <algorithm>
 #include <iostream>
 #include <set>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
 #include "Callers.h"
@@ -439,6 +440,142 @@
                 streams, maxMixed));
     }
 
+    // ---- Case: a crashing part far back in a long prompt ----------------------------------------
+
+    // A prompt of `count` parts that no other request has, the last one included.
+    std::vector<std::string> newParts(int count, int request)
+    {
+        std::vector<std::string> parts;
+        for (int i = 0; i < count; ++i)
+            parts.push_back(fmt::format("{:04x}{:04x}:60", request, i));
+        return parts;
+    }
+
+    int runLongPrompt(net::Loop& loop, Record& record, bool hasTrouble, size_t crashingPosition)
+    {
+        constexpr int partCount = 40;
+        constexpr const char* crashingPart = "bad00bad";
+        constexpr base::Millis contactTime { 3000 };
+        constexpr size_t crashesBefore = 5; // BUDGET: later than contactMs after the fifth crash
+        constexpr int maxArrivals = 3;      // BUDGET: more than three requests
+        constexpr int minSound = 20;        // LOST: 20 or more of each
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        Replicas replicas(loop, fleet.store());
+        for (int i = 1; i <= 6; ++i) {
+            lab::ReplicaStandInOptions options;
+            options.id = fmt::format("i-{}", i);
+            options.service = "engine";
+            options.isEngine = true;
+            options.batchSlots = 64;
+            options.modelSizesMb = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
+            options.loadedModels = { "m1" };
+            options.restartDelay = base::Millis(3000);
+            options.processingTime = base::Millis(60);
+            options.eventsPerStream = 12;
+            lab::ReplicaStandIn& replica = replicas.add(options);
+            replica.faults().crashingParts = { crashingPart };
+            replica.faults().eventsBeforeCrash = 1;
+            replica.setOnStarted([&replicas, &replica, &fleet, &loop, old = std::make_shared<std::string>(options.id)] {
+                loop.spawn([&fleet, id = *old] { // three intervals of silence, less the time until the new start
+                    net::sleepFor(base::Millis(600));
+                    fleet.store().remove("servers/" + id);
+                });
+                *old = replica.id();
+                replicas.publish(replica);
+            });
+        }
+        if (!fleet.waitReady())
+            return cannotRun;
+        net::sleepFor(base::Seconds(4));
+        // Sound requests, in and outside the disturbance, and how many of them began.
+        struct SoundRequest {
+            base::TimePoint sentAt {};
+            bool isOutside = false;
+            bool hasBegun = false;
+        };
+        std::vector<SoundRequest> sound;
+        int underWay = 0;
+        auto send = [&](int number, bool isCrashing, bool isOutside, Daemon& daemon) {
+            ++underWay;
+            size_t index = sound.size();
+            if (!isCrashing)
+                sound.push_back({ base::Clock::now(), isOutside, false });
+            loop.spawn([&, number, isCrashing, index] {
+                std::vector<std::string> parts = newParts(partCount, number);
+                if (isCrashing)
+                    parts[crashingPosition - 1] = std::string(crashingPart) + ":60";
+                std::string id = fmt::format("{:012x}{}", number, isCrashing ? "cccc" : "0000");
+                auto connection = net::HttpConnection::create(loop, daemon.clientAddress);
+                auto result = net::httpCall(*connection,
+                    lab::labRequest("/stream/", id, "m1", "secret-1", fmt::format("{}", fmt::join(parts, ","))),
+                    base::Clock::now() + base::Seconds(6));
+                // The gateway sends the head of a stream with its first event.
+                bool hasBegun = result.response.status == 200 && !result.response.headers.empty();
+                if (!isCrashing)
+                    sound[index].hasBegun = hasBegun;
+                record.write(fmt::format("request {} at {}{}: {}, {}", id, daemon.name,
+                    isCrashing ? " with the crashing part" : "", hasBegun ? "begun" : "not begun",
+                    result.error == net::HttpCallError::None ? fmt::format("status {}", result.response.status)
+                                                             : net::httpCallErrorName(result.error)));
+                --underWay;
+            });
+        };
+        auto& daemons = fleet.daemons();
+        int number = 0;
+        for (int i = 0; i < 30; ++i) {
+            send(++number, false, true, *daemons[static_cast<size_t>(i) % daemons.size()]);
+            net::sleepFor(base::Millis(100));
+        }
+        for (int i = 0; i < 50; ++i) {
+            ++number;
+            if (hasTrouble)
+                send(number, true, false, *daemons[static_cast<size_t>(i) % daemons.size()]);
+            // A sound request with the same caller and the same other parts, at another machine.
+            send(number, false, false, *daemons[static_cast<size_t>(i + 1) % daemons.size()]);
+            net::sleepFor(base::Millis(600));
+        }
+        while (underWay)
+            net::sleepFor(base::Millis(20));
+        std::vector<base::TimePoint> crashes;
+        std::vector<base::TimePoint> arrivals;
+        for (auto& replica : replicas.all) {
+            for (const lab::PartEvent& crash : replica->history().crashes)
+                crashes.push_back(crash.at);
+            for (const lab::PartEvent& arrival : replica->history().crashingArrivals)
+                arrivals.push_back(arrival.at);
+        }
+        std::sort(crashes.begin(), crashes.end());
+        bool isSeen = crashes.size() >= crashesBefore;
+        base::TimePoint fifth = isSeen ? crashes[crashesBefore - 1] : base::timeNever;
+        auto late = std::count_if(arrivals.begin(), arrivals.end(),
+            [&](base::TimePoint arrival) { return isSeen && arrival > fifth + contactTime; });
+        int outside = 0;
+        int outsideBegun = 0;
+        int inside = 0;
+        int insideBegun = 0;
+        for (const SoundRequest& request : sound) {
+            if (request.isOutside) {
+                ++outside;
+                outsideBegun += request.hasBegun;
+            } else if (isSeen && request.sentAt > fifth + 2 * contactTime) {
+                ++inside;
+                insideBegun += request.hasBegun;
+            }
+        }
+        fleet.stop();
+        replicas.stop();
+        bool isLost = inside >= minSound && outside >= minSound && 2 * insideBegun * outside < outsideBegun * inside;
+        return verdict(record, late > maxArrivals || isLost,
+            fmt::format(
+                "{} crashes; BUDGET: {} requests with the part reached replicas later than 3 s after the fifth "
+                "(allowed {}); LOST: of the sound requests {} of {} began outside the disturbance, {} of {} from "
+                "6 s after the fifth crash",
+                crashes.size(), late, maxArrivals, outsideBegun, outside, insideBegun, inside));
+    }
+
 } // namespace
 
 int runCase(net::Loop& loop, const std::string& name, const std::string& recordPath, bool hasTrouble)
@@ -446,6 +583,10 @@
     Record record(recordPath);
     if (name == "foreign-entry")
         return runForeignEntry(loop, record, hasTrouble);
+    if (name == "long-prompt")
+        return runLongPrompt(loop, record, hasTrouble, 36);
+    if (name == "long-prompt-control") // the same part at a place where it is found
+        return runLongPrompt(loop, record, hasTrouble, 6);
     if (name == "take-up")
         return runTakeUp(loop, record, hasTrouble);
     if (name == "late-order")
