--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -1,6 +1,7 @@
 #include "Cases.h"
 
 #include <algorithm>
+#include <csignal>
 #include <iostream>
 #include <set>
 
@@ -451,19 +452,14 @@
         return parts;
     }
 
-    int runLongPrompt(net::Loop& loop, Record& record, bool hasTrouble, size_t crashingPosition)
+    constexpr const char* crashingPart = "bad00bad";
+    constexpr base::Millis contactTime { 3000 };
+    constexpr size_t crashesBefore = 5; // BUDGET: later than contactMs after the fifth crash
+    constexpr int maxArrivals = 3;      // BUDGET: more than three requests
+
+    // Six replicas that hold m1, crash on the part and are back 3 s later, empty, under another identifier.
+    void addCrashingReplicas(net::Loop& loop, Fleet& fleet, Replicas& replicas)
     {
-        constexpr int partCount = 40;
-        constexpr const char* crashingPart = "bad00bad";
-        constexpr base::Millis contactTime { 3000 };
-        constexpr size_t crashesBefore = 5; // BUDGET: later than contactMs after the fifth crash
-        constexpr int maxArrivals = 3;      // BUDGET: more than three requests
-        constexpr int minSound = 20;        // LOST: 20 or more of each
-        Fleet fleet(loop, {}, record);
-        if (!fleet.start())
-            return cannotRun;
-        fleet.store().put("op/config", lab::labConfiguration(1));
-        Replicas replicas(loop, fleet.store());
         for (int i = 1; i <= 6; ++i) {
             lab::ReplicaStandInOptions options;
             options.id = fmt::format("i-{}", i);
@@ -487,6 +483,52 @@
                 replicas.publish(replica);
             });
         }
+    }
+
+    struct CrashCount {
+        size_t crashes = 0;
+        int late = 0; // arrivals later than contactMs after the fifth crash
+        base::TimePoint fifth = base::timeNever;
+    };
+
+    CrashCount countCrashes(const Replicas& replicas, Record& record, base::TimePoint startedAt)
+    {
+        std::vector<base::TimePoint> crashes;
+        std::vector<base::TimePoint> arrivals;
+        for (const auto& replica : replicas.all) {
+            for (const lab::PartEvent& crash : replica->history().crashes)
+                crashes.push_back(crash.at);
+            for (const lab::PartEvent& arrival : replica->history().crashingArrivals)
+                arrivals.push_back(arrival.at);
+        }
+        std::sort(crashes.begin(), crashes.end());
+        std::sort(arrivals.begin(), arrivals.end());
+        for (base::TimePoint crash : crashes)
+            record.write(fmt::format("a replica crashed at {:.3f}", base::secondsOf(crash - startedAt)));
+        for (base::TimePoint arrival : arrivals)
+            record.write(fmt::format(
+                "a request with the crashing part reached a replica at {:.3f}", base::secondsOf(arrival - startedAt)));
+        CrashCount count;
+        count.crashes = crashes.size();
+        if (crashes.size() < crashesBefore)
+            return count;
+        count.fifth = crashes[crashesBefore - 1];
+        count.late = static_cast<int>(std::count_if(arrivals.begin(), arrivals.end(),
+            [&](base::TimePoint arrival) { return arrival > count.fifth + contactTime; }));
+        return count;
+    }
+
+    int runLongPrompt(net::Loop& loop, Record& record, bool hasTrouble, size_t crashingPosition)
+    {
+        constexpr int partCount = 40;
+        constexpr int minSound = 20; // LOST: 20 or more of each
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        Replicas replicas(loop, fleet.store());
+        base::TimePoint startedAt = base::Clock::now();
+        addCrashingReplicas(loop, fleet, replicas);
         if (!fleet.waitReady())
             return cannotRun;
         net::sleepFor(base::Seconds(4));
@@ -539,19 +581,7 @@
         }
         while (underWay)
             net::sleepFor(base::Millis(20));
-        std::vector<base::TimePoint> crashes;
-        std::vector<base::TimePoint> arrivals;
-        for (auto& replica : replicas.all) {
-            for (const lab::PartEvent& crash : replica->history().crashes)
-                crashes.push_back(crash.at);
-            for (const lab::PartEvent& arrival : replica->history().crashingArrivals)
-                arrivals.push_back(arrival.at);
-        }
-        std::sort(crashes.begin(), crashes.end());
-        bool isSeen = crashes.size() >= crashesBefore;
-        base::TimePoint fifth = isSeen ? crashes[crashesBefore - 1] : base::timeNever;
-        auto late = std::count_if(arrivals.begin(), arrivals.end(),
-            [&](base::TimePoint arrival) { return isSeen && arrival > fifth + contactTime; });
+        CrashCount count = countCrashes(replicas, record, startedAt);
         int outside = 0;
         int outsideBegun = 0;
         int inside = 0;
@@ -560,7 +590,7 @@
             if (request.isOutside) {
                 ++outside;
                 outsideBegun += request.hasBegun;
-            } else if (isSeen && request.sentAt > fifth + 2 * contactTime) {
+            } else if (count.crashes >= crashesBefore && request.sentAt > count.fifth + 2 * contactTime) {
                 ++inside;
                 insideBegun += request.hasBegun;
             }
@@ -568,12 +598,180 @@
         fleet.stop();
         replicas.stop();
         bool isLost = inside >= minSound && outside >= minSound && 2 * insideBegun * outside < outsideBegun * inside;
-        return verdict(record, late > maxArrivals || isLost,
+        return verdict(record, count.late > maxArrivals || isLost,
             fmt::format(
                 "{} crashes; BUDGET: {} requests with the part reached replicas later than 3 s after the fifth "
                 "(allowed {}); LOST: of the sound requests {} of {} began outside the disturbance, {} of {} from "
                 "6 s after the fifth crash",
-                crashes.size(), late, maxArrivals, outsideBegun, outside, insideBegun, inside));
+                count.crashes, count.late, maxArrivals, outsideBegun, outside, insideBegun, inside));
+    }
+
+    // ---- Case: requests with a crashing part that come at once ---------------------------------
+
+    int runCrashBurst(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr int partCount = 10;
+        constexpr int requestsAtOnce = 6;
+        constexpr int bursts = 4;
+        constexpr base::Millis gap { 5000 }; // between two bursts
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        Replicas replicas(loop, fleet.store());
+        base::TimePoint startedAt = base::Clock::now();
+        addCrashingReplicas(loop, fleet, replicas);
+        if (!fleet.waitReady())
+            return cannotRun;
+        net::sleepFor(base::Seconds(4));
+        int underWay = 0;
+        int number = 0;
+        auto& daemons = fleet.daemons();
+        auto send = [&](bool isCrashing) {
+            ++number;
+            ++underWay;
+            Daemon& daemon = *daemons[static_cast<size_t>(number) % daemons.size()];
+            loop.spawn([&, number = number, isCrashing, &daemon = daemon] {
+                std::vector<std::string> parts = newParts(partCount, number);
+                if (isCrashing)
+                    parts[1] = std::string(crashingPart) + ":60";
+                std::string id = fmt::format("{:012x}{}", number, isCrashing ? "cccc" : "0000");
+                auto connection = net::HttpConnection::create(loop, daemon.clientAddress);
+                auto result = net::httpCall(*connection,
+                    lab::labRequest("/stream/", id, "m1", "secret-1", fmt::format("{}", fmt::join(parts, ","))),
+                    base::Clock::now() + base::Seconds(6));
+                record.write(
+                    fmt::format("request {} at {}{}: {}", id, daemon.name, isCrashing ? " with the crashing part" : "",
+                        result.error == net::HttpCallError::None ? fmt::format("status {}", result.response.status)
+                                                                 : net::httpCallErrorName(result.error)));
+                --underWay;
+            });
+        };
+        for (int burst = 0; burst < bursts; ++burst) {
+            for (int i = 0; i < requestsAtOnce; ++i)
+                send(hasTrouble);
+            net::sleepFor(gap);
+        }
+        while (underWay)
+            net::sleepFor(base::Millis(20));
+        CrashCount count = countCrashes(replicas, record, startedAt);
+        fleet.stop();
+        replicas.stop();
+        return verdict(record, count.late > maxArrivals,
+            fmt::format(
+                "{} crashes; {} requests with the part reached replicas later than 3 s after the fifth (allowed "
+                "{})",
+                count.crashes, count.late, maxArrivals));
+    }
+
+    // ---- Case: all machines are killed while two versions serve -----------------------------------
+
+    int runKillAll(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr base::Millis interval { 25 };        // between two new streams
+        constexpr base::Seconds steadyTime { 8 };      // before the kill
+        constexpr base::Millis comeBackAfter { 4500 }; // more than contactMs after the new starts
+        constexpr int minTakenUp = 12;                 // LOST: 12 or more streams
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        Replicas replicas(loop, fleet.store());
+        for (int i = 1; i <= 4; ++i) {
+            lab::ReplicaStandInOptions options;
+            options.id = fmt::format("i-{}", i);
+            options.service = "engine";
+            options.version = i <= 2 ? "v1" : "v2";
+            options.isEngine = true;
+            options.batchSlots = 64;
+            options.modelSizesMb = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
+            options.loadedModels = { "m1" };
+            options.processingTime = base::Millis(40);
+            options.eventsPerStream = 13; // as the sheets say
+            replicas.add(options);
+        }
+        if (!fleet.waitReady())
+            return cannotRun;
+        net::sleepFor(base::Seconds(4));
+        int underWay = 0;
+        int number = 0;
+        int broken = 0;
+        int goneOn = 0;
+        int newStreams = 0;
+        int newBegun = 0;
+        auto& daemons = fleet.daemons();
+        base::TimePoint killedAt = base::timeNever;
+        auto call = [&](Daemon& daemon, const std::string& id, int lastEvent, const std::string& resumes, int& status) {
+            net::HttpRequest request = lab::labRequest("/stream/", id, "m1");
+            if (lastEvent) {
+                request.headers.push_back({ "Last-Event-Id", std::to_string(lastEvent) });
+                request.headers.push_back({ "Resumes", resumes });
+            }
+            auto connection = net::HttpConnection::create(loop, daemon.clientAddress);
+            base::TimePoint deadline = base::Clock::now() + base::Seconds(6);
+            net::HttpResponse response;
+            std::string text;
+            bool isEnd = false;
+            if (connection->connect(deadline) == net::HttpCallError::None
+                && connection->send(request, deadline) == net::HttpCallError::None
+                && connection->readHead(response, deadline) == net::HttpCallError::None) {
+                status = response.status;
+                while (!isEnd && connection->readSome(text, isEnd, deadline) == net::HttpCallError::None) { }
+            }
+            size_t last = text.rfind("id: ");
+            int event = status == 200 && last != std::string::npos ? std::stoi(text.substr(last + 4)) : 0;
+            return std::pair(isEnd && status == 200, event);
+        };
+        auto sendStream = [&](bool isAfter) {
+            ++number;
+            ++underWay;
+            size_t at = static_cast<size_t>(number) % daemons.size();
+            loop.spawn([&, number = number, at, isAfter] {
+                std::string id = fmt::format("{:015x}1", number);
+                int status = 0;
+                auto [isWhole, event] = call(*daemons[at], id, 0, "", status);
+                newStreams += isAfter;
+                newBegun += isAfter && event > 0;
+                if (!isWhole && event > 0 && killedAt != base::timeNever) {
+                    base::TimePoint comesBackAt = killedAt + comeBackAfter;
+                    while (base::Clock::now() < comesBackAt)
+                        net::sleepFor(base::Millis(20));
+                    ++broken;
+                    std::string next = fmt::format("{:015x}2", number);
+                    auto [isWholeNow, lastNow] = call(*daemons[(at + 1) % daemons.size()], next, event, id, status);
+                    goneOn += isWholeNow || lastNow > event;
+                    record.write(
+                        fmt::format("stream {} was broken off after event {}; taken up at {}: status {}, {}", id, event,
+                            daemons[(at + 1) % daemons.size()]->name, status, isWholeNow ? "whole" : "not gone on"));
+                }
+                --underWay;
+            });
+        };
+        base::TimePoint steadyUntil = base::Clock::now() + steadyTime;
+        while (base::Clock::now() < steadyUntil) {
+            sendStream(false);
+            net::sleepFor(interval);
+        }
+        if (hasTrouble) {
+            killedAt = base::Clock::now();
+            for (auto& daemon : daemons)
+                fleet.kill(*daemon, SIGKILL);
+        }
+        net::sleepFor(comeBackAfter - base::Millis(100));
+        for (int i = 0; i < 40; ++i) {
+            sendStream(true);
+            net::sleepFor(interval);
+        }
+        while (underWay)
+            net::sleepFor(base::Millis(20));
+        fleet.stop();
+        replicas.stop();
+        if (hasTrouble && broken < minTakenUp)
+            return cannotRun;
+        bool isLost = broken >= minTakenUp && 2 * goneOn * newStreams < newBegun * broken;
+        return verdict(record, isLost,
+            fmt::format("{} of {} streams that were taken up went on; {} of {} new streams began meanwhile", goneOn,
+                broken, newBegun, newStreams));
     }
 
 } // namespace
@@ -587,6 +785,10 @@
         return runLongPrompt(loop, record, hasTrouble, 36);
     if (name == "long-prompt-control") // the same part at a place where it is found
         return runLongPrompt(loop, record, hasTrouble, 6);
+    if (name == "kill-all")
+        return runKillAll(loop, record, hasTrouble);
+    if (name == "crash-burst")
+        return runCrashBurst(loop, record, hasTrouble);
     if (name == "take-up")
         return runTakeUp(loop, record, hasTrouble);
     if (name == "late-order")
