--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <set>
 
+#include <boost/fiber/operations.hpp>
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
@@ -774,6 +775,99 @@
                 broken, newBegun, newStreams));
     }
 
+    // ---- Trial: the same crashing request at several machines at once -------------------------------
+
+    int runCrashRequest(net::Loop& loop, Record& record, bool hasTrouble)
+    {
+        constexpr const char* body = "a request that crashes its replica";
+        constexpr int requestsAtOnce = 6;
+        constexpr int bursts = 4;
+        constexpr base::Millis gap { 5000 };
+        constexpr size_t crashesBeforeRetries = 3; // BUDGET: after it has crashed the third
+        Fleet fleet(loop, {}, record);
+        if (!fleet.start())
+            return cannotRun;
+        fleet.store().put("op/config", lab::labConfiguration(1));
+        Replicas replicas(loop, fleet.store());
+        for (int i = 1; i <= 8; ++i) {
+            lab::ReplicaStandInOptions options;
+            options.id = fmt::format("i-{}", i);
+            options.restartDelay = base::Millis(3000);
+            options.processingTime = base::Millis(30);
+            lab::ReplicaStandIn& replica = replicas.add(options);
+            replica.faults().crashingBodies = { body };
+            replica.setOnStarted([&replicas, &replica, &fleet, old = std::make_shared<std::string>(options.id)] {
+                fleet.store().remove("servers/" + *old);
+                *old = replica.id();
+                replicas.publish(replica);
+            });
+        }
+        if (!fleet.waitReady())
+            return cannotRun;
+        net::sleepFor(base::Seconds(4));
+        int underWay = 0;
+        int number = 0;
+        auto& daemons = fleet.daemons();
+        for (int burst = 0; burst < bursts; ++burst) {
+            for (int i = 0; i < requestsAtOnce; ++i) {
+                ++underWay;
+                loop.spawn([&, number = ++number] {
+                    net::HttpRequest call = lab::labRequest("/safe/", fmt::format("{:016x}", number), "");
+                    if (hasTrouble)
+                        call.body = body;
+                    auto connection = net::HttpConnection::create(
+                        loop, daemons[static_cast<size_t>(number) % daemons.size()]->clientAddress);
+                    net::httpCall(*connection, call, base::Clock::now() + base::Seconds(6));
+                    --underWay;
+                });
+            }
+            net::sleepFor(gap);
+        }
+        while (underWay)
+            net::sleepFor(base::Millis(20));
+        std::vector<base::TimePoint> crashes;
+        std::vector<base::TimePoint> arrivals;
+        for (const auto& replica : replicas.all) {
+            for (const lab::PartEvent& crash : replica->history().crashes)
+                crashes.push_back(crash.at);
+            for (const lab::PartEvent& arrival : replica->history().crashingArrivals)
+                arrivals.push_back(arrival.at);
+        }
+        std::sort(crashes.begin(), crashes.end());
+        bool isSeen = crashes.size() >= crashesBeforeRetries;
+        auto late = std::count_if(arrivals.begin(), arrivals.end(), [&](base::TimePoint arrival) {
+            return isSeen && arrival > crashes[crashesBeforeRetries - 1] + contactTime;
+        });
+        fleet.stop();
+        replicas.stop();
+        return verdict(record, late > maxArrivals,
+            fmt::format("{} crashes, {} arrivals; {} later than 3 s after the third crash (allowed {})", crashes.size(),
+                arrivals.size(), late, maxArrivals));
+    }
+
+    // ---- Trial: timers on a loop that is never idle --------------------------------------------------
+
+    int runBusyLoop(net::Loop& loop, Record& record)
+    {
+        constexpr int maxMillis = 200;
+        bool isOver = false;
+        for (int i = 0; i < 20; ++i) {
+            loop.spawn([&] {
+                while (!isOver)
+                    boost::this_fiber::yield();
+            });
+        }
+        long long longest = 0;
+        for (int i = 0; i < 10; ++i) {
+            base::TimePoint begunAt = base::Clock::now();
+            net::sleepFor(base::Millis(50));
+            longest = std::max(longest, base::millisOf(base::Clock::now() - begunAt));
+        }
+        isOver = true;
+        return verdict(
+            record, longest > maxMillis, fmt::format("the longest of 10 waits of 50 ms took {} ms", longest));
+    }
+
 } // namespace
 
 int runCase(net::Loop& loop, const std::string& name, const std::string& recordPath, bool hasTrouble)
@@ -787,6 +881,10 @@
         return runLongPrompt(loop, record, hasTrouble, 6);
     if (name == "kill-all")
         return runKillAll(loop, record, hasTrouble);
+    if (name == "crash-request")
+        return runCrashRequest(loop, record, hasTrouble);
+    if (name == "busy-loop")
+        return runBusyLoop(loop, record);
     if (name == "crash-burst")
         return runCrashBurst(loop, record, hasTrouble);
     if (name == "take-up")
