--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -409,6 +409,14 @@
         }
         if (!hub || members.size() < 2)
             return cannotRun;
+        // The other model is in use, so the hub has no reason to unload it.
+        CallerOptions otherOptions;
+        otherOptions.callersPerDaemon = 1;
+        otherOptions.idPrefix = "2222";
+        otherOptions.kinds = { { "stream", "m2" } };
+        Callers others(loop, fleet, record, otherOptions);
+        others.start();
+        net::sleepFor(base::Seconds(2));
         std::vector<TakenUpStream> all(streams);
         int running = streams;
         for (int i = 0; i < streams; ++i) {
@@ -428,6 +436,7 @@
         }
         while (running)
             net::sleepFor(base::Millis(20));
+        others.stop();
         int mixed = 0;
         int begun = 0;
         for (const TakenUpStream& stream : all) {
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -40,6 +40,30 @@
         }
     }
 
+    // Processes that were started here and have not ended, for the signal handler below.
+    constexpr size_t maxProcesses = 16;
+    volatile pid_t s_processes[maxProcesses] = {};
+
+    void noteProcess(pid_t before, pid_t now)
+    {
+        for (volatile pid_t& process : s_processes) {
+            if (process == before) {
+                process = now;
+                return;
+            }
+        }
+    }
+
+    // Ends the processes if this one is told to end early, e.g. by the script's time limit.
+    void endProcesses(int)
+    {
+        for (volatile pid_t& process : s_processes) {
+            if (process > 0)
+                ::kill(process, SIGKILL);
+        }
+        _exit(2);
+    }
+
     // Resident size of a process in KB; 0 if it has ended.
     size_t residentKb(pid_t pid)
     {
@@ -151,6 +175,8 @@
     }
     m_isWatching = true;
     m_loop.spawn([this] { watch(); });
+    std::signal(SIGTERM, endProcesses);
+    std::signal(SIGINT, endProcesses);
     return true;
 }
 
@@ -168,6 +194,7 @@
     char* variables[] = { variable.data(), nullptr };
     posix_spawn(&daemon.pid, program, &actions, nullptr, arguments, variables);
     posix_spawn_file_actions_destroy(&actions);
+    noteProcess(0, daemon.pid);
     daemon.isExpectedToEnd = false;
     daemon.isOverMemory = false;
     daemon.restartAt = base::timeNever;
@@ -182,6 +209,7 @@
             if (daemon->pid && waitpid(daemon->pid, &status, WNOHANG) == daemon->pid) {
                 bool isOwnEnd = !daemon->isExpectedToEnd;
                 daemon->ownEnds += isOwnEnd;
+                noteProcess(daemon->pid, 0);
                 daemon->pid = 0;
                 daemon->restartAt = base::Clock::now() + m_options.restartDelay;
                 std::string how = WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status))
