--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -267,7 +267,9 @@
         constexpr base::Millis lateDelay { 11500 }; // applied_late: 2 to 12 s
         constexpr int lateEveryNth = 2;             // a share of 0.5
         constexpr base::Millis downTime { 4500 };   // srv_crash
-        const std::map<std::string, double> modelMb { { "m1", 72700 }, { "m2", 72700 }, { "m3", 72700 } };
+        std::map<std::string, double> modelMb;
+        for (int i = 1; i <= 8; ++i)
+            modelMb[fmt::format("m{}", i)] = 72700;
         Fleet fleet(loop, {}, record);
         if (!fleet.start())
             return cannotRun;
@@ -277,8 +279,22 @@
         options.modelMb = modelMb;
         options.loaded = { "m1" };
         EngineReplica replica(loop, fleet.store(), record, options);
+        std::vector<std::unique_ptr<EngineReplica>> rest;
+        CallerOptions otherOptions;
+        otherOptions.idPrefix = "2222";
+        otherOptions.callersPerDaemon = 5;
+        for (const char* model : { "m4", "m5", "m6", "m7", "m8" }) {
+            options.id = fmt::format("i-1{}", model);
+            options.loaded = { model };
+            rest.push_back(std::make_unique<EngineReplica>(loop, fleet.store(), record, options));
+            if (!rest.back()->start())
+                return cannotRun;
+            otherOptions.kinds.emplace_back("stream", model);
+        }
         if (!replica.start() || !fleet.waitReady())
             return cannotRun;
+        Callers others(loop, fleet, record, otherOptions); // the models of the other replicas are in use
+        others.start();
         net::sleepFor(base::Seconds(4));
         CallerOptions second;
         second.callersPerDaemon = 1;
@@ -303,6 +319,7 @@
         askThird.start();
         net::sleepFor(base::Seconds(12));
         askThird.stop();
+        others.stop();
         int orders = replica.orderCount();
         int unanswered = replica.unansweredCount();
         bool isOvercommitted = replica.wasOvercommitted();
@@ -375,7 +392,8 @@
         constexpr int streams = 8;
         constexpr int maxMixed = 2;              // ORDER: more than two streams
         constexpr base::Millis downTime { 600 }; // srv_crash
-        const std::map<std::string, double> modelMb { { "m1", 72700 }, { "m2", 72700 } };
+        const std::map<std::string, double> modelMb { { "m1", 72700 }, { "m2", 72700 }, { "m3", 72700 },
+            { "m4", 72700 } };
         Fleet fleet(loop, {}, record);
         if (!fleet.start())
             return cannotRun;
@@ -395,10 +413,15 @@
         options.id = "i-1";
         options.loaded = { "m1" };
         EngineReplica first(loop, fleet.store(), record, options);
-        options.id = "i-2";
-        options.loaded = { "m2" };
-        EngineReplica second(loop, fleet.store(), record, options);
-        if (!first.start() || !second.start() || !fleet.waitReady())
+        std::vector<std::unique_ptr<EngineReplica>> rest;
+        for (const char* model : { "m2", "m3", "m4" }) {
+            options.id = fmt::format("i-1{}", model);
+            options.loaded = { model };
+            rest.push_back(std::make_unique<EngineReplica>(loop, fleet.store(), record, options));
+            if (!rest.back()->start())
+                return cannotRun;
+        }
+        if (!first.start() || !fleet.waitReady())
             return cannotRun;
         net::sleepFor(base::Seconds(4));
         Daemon* hub = fleet.hub();
@@ -409,11 +432,11 @@
         }
         if (!hub || members.size() < 2)
             return cannotRun;
-        // The other model is in use, so the hub has no reason to unload it.
+        // The other models are in use, so the hub has no reason to unload them.
         CallerOptions otherOptions;
-        otherOptions.callersPerDaemon = 1;
+        otherOptions.callersPerDaemon = 3;
         otherOptions.idPrefix = "2222";
-        otherOptions.kinds = { { "stream", "m2" } };
+        otherOptions.kinds = { { "stream", "m2" }, { "stream", "m3" }, { "stream", "m4" } };
         Callers others(loop, fleet, record, otherOptions);
         others.start();
         net::sleepFor(base::Seconds(2));
