Read what other processes wrote with limits on depth, range and size

Cause: nlohmann::json copies, compares and dumps by recursion, and readLoadedModels() copied the value before its type was checked, on a fiber with 128 KB of stack. The parser and the destructor are not the cause; the MessagePack parser, which also reads handshakes before they are authenticated, is another way.

Change: all parsing goes through base/Json.h, which refuses more than 64 levels, so no later copy can recurse further. One unreadable item of a page or a watch no longer takes the others with it, and a record of the fleet's own whose field has another type no longer throws on the main fiber.

Ruled out: the store client by itself, where an entry's value is a string.

--- a/src/admin/AdminServer.cpp
+++ b/src/admin/AdminServer.cpp
@@ -4,6 +4,7 @@
 
 #include "admin/Explain.h"
 #include "base/Counters.h"
+#include "base/Json.h"
 #include "base/Log.h"
 
 namespace rattanshunt::admin {
@@ -146,7 +147,7 @@
             return apiResponse(api.withdrawKey(name));
         if (command != "create")
             return notFound(request.target);
-        json body = json::parse(request.body, nullptr, false);
+        json body = base::jsonTryParse(request.body);
         if (!body.is_object() || !body.contains("account") || !body["account"].is_string())
             return apiResponse({ ApiCode::Invalid, "account", "must be given as a string", {} });
         return apiResponse(api.createKey(name, body["account"]));
@@ -178,7 +179,7 @@
             return jsonResponse(405,
                 { { "error",
                     { { "type", "invalid" }, { "field", "method" }, { "message", "must be GET, PUT or DELETE" } } } });
-        json spec = json::parse(request.body, nullptr, false);
+        json spec = base::jsonTryParse(request.body);
         if (spec.is_discarded())
             return apiResponse({ ApiCode::Invalid, "body", "is not JSON in UTF-8", {} });
         return apiResponse(api.apply(kind, name, spec, options));
@@ -213,7 +214,7 @@
             auto id = resources::resourceIdFromKvKey(event.entry.key);
             if (event.entry.modRevision <= revision || !id || ++count > maxWatchBatch)
                 continue;
-            json spec = event.isDelete ? json() : json::parse(event.entry.value, nullptr, false);
+            json spec = event.isDelete ? json() : base::jsonTryParse(event.entry.value);
             if (spec.is_object())
                 spec.erase("digest");
             lines += json({ { "kind", id->kind }, { "name", id->name }, { "deleted", event.isDelete },
--- a/src/admin/ResourceApi.cpp
+++ b/src/admin/ResourceApi.cpp
@@ -1,5 +1,6 @@
 #include "admin/ResourceApi.h"
 
+#include "base/Json.h"
 #include "base/Log.h"
 #include "base/Text.h"
 
@@ -25,7 +26,7 @@
 
     json specOf(const fleet::MirrorRecord& record)
     {
-        json spec = json::parse(record.value, nullptr, false);
+        json spec = base::jsonTryParse(record.value);
         if (spec.is_object())
             spec.erase("operation");
         return spec;
--- a/src/budget/Lender.cpp
+++ b/src/budget/Lender.cpp
@@ -1,4 +1,5 @@
 #include "budget/Lender.h"
+#include "base/Json.h"
 
 #include <fmt/format.h>
 
@@ -319,7 +320,7 @@
 
 std::optional<SlotRecord> slotFromText(const std::string& text)
 {
-    json object = json::parse(text, nullptr, false);
+    json object = base::jsonTryParse(text);
     if (!object.is_object())
         return std::nullopt;
     try {
--- a/src/cli/AdminClient.cpp
+++ b/src/cli/AdminClient.cpp
@@ -1,4 +1,5 @@
 #include "cli/AdminClient.h"
+#include "base/Json.h"
 #include "reports/RequestTimeline.h"
 
 #include <fstream>
@@ -88,7 +89,7 @@
     // Applies each resource in turn. Continues after a refusal, so that all errors are reported at once.
     int apply(net::Loop& loop, const base::Address& address)
     {
-        json items = json::parse(readFile(FLAGS_f), nullptr, false);
+        json items = base::jsonTryParse(readFile(FLAGS_f));
         if (items.is_object())
             items = json::array({ items });
         if (!items.is_array()) {
--- a/src/coordination/InstanceList.cpp
+++ b/src/coordination/InstanceList.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "base/Json.h"
 #include "coordination/KvCodec.h"
 
 namespace rattanshunt::coordination {
@@ -63,7 +64,7 @@
     net::HttpResult result = net::httpCall(connection, request, deadline);
     if (result.error != net::HttpCallError::None || result.response.status != 200)
         return changes;
-    json body = json::parse(result.response.body, nullptr, false);
+    json body = base::jsonTryParse(result.response.body);
     if (!body.is_object() || !body.contains("instances") || !body["instances"].is_array())
         return changes;
     changes.version = kvNumber(body, "version");
--- a/src/coordination/Kv.h
+++ b/src/coordination/Kv.h
@@ -29,6 +29,7 @@
 
 constexpr int eraShift = 40;              // bits of a revision below the era
 constexpr int64_t maxEra = (1 << 13) - 1; // 2^53 limits a revision
+constexpr int64_t maxRevisionNumber = (int64_t(1) << eraShift) - 1;
 
 constexpr Revision revisionInEra(int64_t era, int64_t number)
 {
@@ -41,7 +42,7 @@
 // The revision as the store itself counts it.
 constexpr int64_t revisionNumber(Revision revision)
 {
-    return revision & ((int64_t(1) << eraShift) - 1);
+    return revision & maxRevisionNumber;
 }
 
 struct KvEntry {
--- a/src/coordination/KvClient.cpp
+++ b/src/coordination/KvClient.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/Counters.h"
+#include "base/Json.h"
 #include "coordination/KvCodec.h"
 
 namespace rattanshunt::coordination {
@@ -62,7 +63,7 @@
         // With any status other than 200 the service has refused the call without effect.
         if (result.response.status != 200)
             return callResult;
-        callResult.body = json::parse(result.response.body, nullptr, false);
+        callResult.body = base::jsonTryParse(result.response.body);
         callResult.error = callResult.body.is_object() ? KvError::None : KvError::OutcomeUnknown;
         return callResult;
     }
@@ -168,7 +169,7 @@
     bool handleWatchLine(
         const std::string& line, const std::function<bool(const std::vector<KvEvent>&, Revision)>& onEvents)
     {
-        json message = json::parse(line, nullptr, false);
+        json message = base::jsonTryParse(line);
         if (!message.is_object() || !message.contains("result"))
             return false;
         const json& result = message["result"];
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -83,6 +83,7 @@
         bool isNew = !isKnown || known->second.revision != raw.revision;
         directory.rawEntries[raw.key] = raw;
         if (!entry) {
+            directory.rawEntries[raw.key].value.clear(); // of no use, and it may be long
             if (isNew)
                 faults.push_back({ raw.key, fault });
             removeReplica(directory, id, raw.revision);
--- a/src/endpoints/EngineOrders.cpp
+++ b/src/endpoints/EngineOrders.cpp
@@ -1,4 +1,5 @@
 #include "endpoints/EngineOrders.h"
+#include "base/Json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -31,7 +32,7 @@
     net::HttpResult result = net::httpCall(connection, { "GET", "/state", {}, "" }, deadline);
     if (result.error != net::HttpCallError::None || result.response.status != 200)
         return std::nullopt;
-    json body = json::parse(result.response.body, nullptr, false);
+    json body = base::jsonTryParse(result.response.body);
     if (!body.is_object())
         return std::nullopt;
     try {
--- a/src/endpoints/EngineStream.cpp
+++ b/src/endpoints/EngineStream.cpp
@@ -1,4 +1,5 @@
 #include "endpoints/EngineStream.h"
+#include "base/Json.h"
 
 #include <cstdio>
 
@@ -28,7 +29,7 @@
         }
         if (data.empty())
             return;
-        json object = json::parse(data, nullptr, false);
+        json object = base::jsonTryParse(data);
         if (!engineResponseMatches(object, stream.requestId)) {
             stream.hasForeignEvent = true;
             return;
@@ -80,7 +81,7 @@
     std::string text;
     while (!events.empty()) {
         size_t end = events.find(eventEnd);
-        json object = json::parse(eventData(events.substr(0, end)), nullptr, false);
+        json object = base::jsonTryParse(eventData(events.substr(0, end)));
         if (object.is_object() && object.contains("choices")) {
             for (const json& choice : object["choices"]) {
                 if (choice.is_object() && choice.contains("text") && choice["text"].is_string())
--- a/src/entry/RequestParser.cpp
+++ b/src/entry/RequestParser.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "base/Json.h"
 #include "base/Text.h"
 
 namespace rattanshunt::entry {
@@ -101,7 +102,7 @@
     if (isNestedTooDeeply(text))
         return leaf::new_error(FieldError { "body", "is nested too deeply" });
     CompletionRequest completion;
-    completion.body = json::parse(text, nullptr, false);
+    completion.body = base::jsonTryParse(text);
     if (!completion.body.is_object())
         return leaf::new_error(FieldError { "body", "must be a JSON object in UTF-8" });
     const json& body = completion.body;
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -1,6 +1,7 @@
 // Serves completions on model engines. A failed attempt is resumed on another replica after the tokens already
 // delivered.
 #include "base/Counters.h"
+#include "base/Json.h"
 #include "base/Log.h"
 #include "endpoints/EngineStream.h"
 #include "entry/AttemptLoop.h"
@@ -91,7 +92,7 @@
             if (body.size() > maxResponseBytes)
                 return endTooLarge(connection);
         }
-        json engineResponse = json::parse(body, nullptr, false);
+        json engineResponse = base::jsonTryParse(body);
         if (!endpoints::engineResponseMatches(engineResponse, request.id)) {
             base::counterAdd("engine_answers_foreign_total");
             connection.cancel();
--- a/src/fleet/FleetLearning.cpp
+++ b/src/fleet/FleetLearning.cpp
@@ -1,4 +1,5 @@
 // Updates of the mirror from the platform and from peers.
+#include "base/Json.h"
 #include "fleet/FleetImpl.h"
 
 namespace rattanshunt::fleet {
@@ -19,7 +20,7 @@
         auto record = mirror.records.find("/rs/cfg/key/" + name);
         if (record == mirror.records.end())
             return false;
-        json object = json::parse(record->second.value, nullptr, false);
+        json object = base::jsonTryParse(record->second.value);
         return object.is_object() && object.value("withdrawn", false);
     });
 }
--- a/src/fleet/Members.cpp
+++ b/src/fleet/Members.cpp
@@ -1,4 +1,5 @@
 #include "fleet/Members.h"
+#include "base/Json.h"
 
 #include <fmt/format.h>
 
@@ -22,7 +23,7 @@
 
 std::optional<Session> sessionFromText(const std::string& text)
 {
-    json object = json::parse(text, nullptr, false);
+    json object = base::jsonTryParse(text);
     if (!object.is_object())
         return std::nullopt;
     try {
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "base/Counters.h"
+#include "base/Json.h"
 #include "base/Log.h"
 #include "hub/HubSyncInternal.h"
 
@@ -14,6 +15,20 @@
 using base::LogLevel;
 using Json = nlohmann::json;
 
+namespace {
+
+    constexpr size_t maxMembers = 100000; // that a record is believed to name
+
+    size_t readMemberCount(const std::string& value)
+    {
+        Json json = base::jsonTryParse(value);
+        auto count
+            = json.is_object() && json.contains("members") ? base::jsonInteger(json.at("members")) : std::nullopt;
+        return count ? std::min(static_cast<size_t>(*count), maxMembers) : 0;
+    }
+
+} // namespace
+
 HubSync::HubSync(net::Loop& loop, HubSyncOptions options, const gateway::WireCodec& codec, coordination::Kv& kv)
     : m_loop(loop)
     , m_options(std::move(options))
@@ -242,6 +257,22 @@
         resign("the store was restored");
 }
 
+// Nothing if the record cannot be read.
+std::optional<HubSync::HubRecord> HubSync::readHubRecord(const coordination::KvEntry& entry)
+{
+    try {
+        Json json = base::jsonParse(entry.value);
+        auto address = base::parseAddress(json.at("address").get<std::string>());
+        if (!address)
+            throw base::JsonFault("field \"address\" is not IP:PORT");
+        return HubRecord { json.at("name").get<std::string>(), *address, json.at("start").get<std::string>(),
+            entry.createRevision, entry.modRevision, entry.lease };
+    } catch (const std::exception& error) {
+        base::logEvent(LogLevel::Warning, "hub.record_unreadable", { { "why", error.what() } });
+        return std::nullopt;
+    }
+}
+
 void HubSync::applyStoreEntries(const coordination::KvRangeResult& all, BootTime requestedAt)
 {
     int64_t era = coordination::revisionEra(all.revision);
@@ -258,8 +289,7 @@
         else if (entry.key.starts_with(m_codec.entryPrefix))
             entries.push_back({ entry.key, entry.value, entry.modRevision });
         else if (entry.key == fleetKey) {
-            Json json = Json::parse(entry.value, nullptr, false);
-            m_storedMemberCount = json.is_object() ? json.value("members", size_t(0)) : 0;
+            m_storedMemberCount = readMemberCount(entry.value);
             if (!m_memberCount)
                 m_memberCount = m_storedMemberCount;
         } else if (entry.key == secretKey)
@@ -268,13 +298,8 @@
             parts = &entry;
         else if (entry.key == streamsKey)
             applyStoredStreams(entry, BootClock::now());
-        else if (entry.key == hubKey) {
-            Json json = Json::parse(entry.value, nullptr, false);
-            auto address = json.is_object() ? base::parseAddress(json.value("address", "")) : std::nullopt;
-            if (address)
-                record = HubRecord { json.value("name", ""), *address, json.value("start", ""), entry.createRevision,
-                    entry.modRevision, entry.lease };
-        }
+        else if (entry.key == hubKey)
+            record = readHubRecord(entry);
     }
     uint64_t before = m_directory.changeSequence;
     BootTime now = BootClock::now();
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -262,6 +262,7 @@
     void beginRefresh();
     coordination::KvRangeResult readStoreEntries();
     base::Duration currentSyncInterval() const;
+    static std::optional<HubRecord> readHubRecord(const coordination::KvEntry&);
     void applyStoreEntries(const coordination::KvRangeResult&, base::BootTime requestedAt);
     void applyConfiguration(const std::string& value, int64_t revision);
     gateway::ConfigurationStamp configurationStamp() const; // of the one in force
@@ -277,6 +278,7 @@
     void renewLoop();
     void recordOrderer();
     nlohmann::json handleCall(const std::string& from, const std::string& method, const nlohmann::json& body);
+    nlohmann::json handleGrantCall(const nlohmann::json& body);
     nlohmann::json handleSync(const std::string& from, const nlohmann::json& body);
     nlohmann::json buildSyncReply(const nlohmann::json& asked, base::BootTime now);
     std::vector<bool> differingBuckets(const directory::DirectoryDigest& memberDigest);
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -1,6 +1,7 @@
 // The hub's term: election, lease, and the record of who orders.
 #include <fmt/format.h>
 
+#include "base/Json.h"
 #include "base/Log.h"
 #include "hub/HubSyncInternal.h"
 
@@ -17,11 +18,12 @@
     {
         if (entries.empty())
             return std::nullopt;
-        Json json = Json::parse(entries[0].value, nullptr, false);
+        Json json = base::jsonTryParse(entries[0].value);
         // Earlier versions of this program wrote the name alone.
-        if (!json.is_object())
+        if (!json.is_object() || !json.contains("name") || !json.at("name").is_string())
             return OrdererRecord { entries[0].value, 0 };
-        return OrdererRecord { json.value("name", ""), json.value("era", int64_t(0)) };
+        auto era = json.contains("era") ? base::jsonInteger(json.at("era")) : std::nullopt;
+        return OrdererRecord { json.at("name").get<std::string>(), era.value_or(0) };
     }
 
 } // namespace
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -50,37 +50,40 @@
 
 Json HubSync::handleCall(const std::string& from, const std::string& method, const Json& body)
 {
-    if (method == "sync" && body.is_object()) {
-        try {
+    try {
+        if (method == "sync" && body.is_object())
             return handleSync(from, body);
-        } catch (const std::exception& error) {
-            base::logEvent(LogLevel::Warning, "peer.call_unreadable", { { "peer", from }, { "why", error.what() } });
-            return Json(Json::value_t::discarded);
-        }
-    }
-    if (method == "grant" && body.is_object()) {
-        BootTime now = BootClock::now();
-        if (termIsOver(m_term, now) || !m_configuration)
-            return Json { { "hub", false } };
-        auto account = m_configuration->accounts.find(body.value("account", ""));
-        if (account == m_configuration->accounts.end())
-            return Json { { "hub", true }, { "tokens", 0.0 } };
-        quota::AccountLimit limit = limitOf(account->second);
-        double need = body.value("need", 0.0);
-        double tokens = 0;
-        for (double wanted : { need * grantPrefetchFactor, need }) {
-            if (tokens == 0 && quota::hubQuotaTake(m_hubQuota, account->first, limit, wanted, now))
-                tokens = wanted;
-        }
-        return Json { { "hub", true }, { "tokens", tokens } };
+        if (method == "grant" && body.is_object())
+            return handleGrantCall(body);
+        if (method == "stream" && body.is_object())
+            return handleStreamCall(body);
+        if (method == "permit" && body.is_object())
+            return handlePermitCall(from, body);
+    } catch (const std::exception& error) {
+        base::logEvent(LogLevel::Warning, "peer.call_unreadable",
+            { { "peer", from }, { "method", method }, { "why", error.what() } });
     }
-    if (method == "stream" && body.is_object())
-        return handleStreamCall(body);
-    if (method == "permit" && body.is_object())
-        return handlePermitCall(from, body);
     return Json(Json::value_t::discarded);
 }
 
+Json HubSync::handleGrantCall(const Json& body)
+{
+    BootTime now = BootClock::now();
+    if (termIsOver(m_term, now) || !m_configuration)
+        return Json { { "hub", false } };
+    auto account = m_configuration->accounts.find(body.value("account", ""));
+    if (account == m_configuration->accounts.end())
+        return Json { { "hub", true }, { "tokens", 0.0 } };
+    quota::AccountLimit limit = limitOf(account->second);
+    double need = body.value("need", 0.0);
+    double tokens = 0;
+    for (double wanted : { need * grantPrefetchFactor, need }) {
+        if (tokens == 0 && quota::hubQuotaTake(m_hubQuota, account->first, limit, wanted, now))
+            tokens = wanted;
+    }
+    return Json { { "hub", true }, { "tokens", tokens } };
+}
+
 void HubSync::applyMemberDemand(HubMember& member, const Json& body, BootTime now)
 {
     member.lastSeenAt = now;
--- a/src/hub/HubSyncParts.cpp
+++ b/src/hub/HubSyncParts.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include "base/Counters.h"
+#include "base/Json.h"
 #include "base/Log.h"
 #include "hub/HubSyncInternal.h"
 
@@ -15,6 +16,8 @@
 
 namespace {
 
+    constexpr int64_t maxBlockCount = 1000; // of one part, that a record is believed to name
+
     // The replicas that ended, each with the age of its end.
     std::string endsText(const std::vector<prompts::PartEnd>& ends, BootTime now)
     {
@@ -33,15 +36,18 @@
     std::map<PartKey, prompts::PartBlock> readStoredBlocks(const std::string& value, BootTime now)
     {
         std::map<PartKey, prompts::PartBlock> blocks;
-        Json json = Json::parse(value, nullptr, false);
+        Json json = base::jsonTryParse(value);
         if (!json.is_object() || !json.contains("parts") || !json.at("parts").is_array())
             return blocks;
         for (const Json& row : json.at("parts")) {
             try {
-                base::Millis left = base::Millis(row.at("until_ms").get<int64_t>()) - unixNow();
+                auto until = base::jsonInteger(row.at("until_ms"));
+                auto count = base::jsonInteger(row.at("blocks"));
+                if (!until || !count)
+                    throw base::JsonFault("a time or a count is not a number in range");
                 prompts::PartBlock block;
-                block.until = now + std::min<base::Millis>(left, prompts::maxBlockTime);
-                block.count = row.at("blocks").get<int>();
+                block.until = now + std::min<base::Millis>(base::Millis(*until) - unixNow(), prompts::maxBlockTime);
+                block.count = static_cast<int>(std::min(*count, maxBlockCount));
                 blocks[{ row.at("service").get<std::string>(), row.at("part").get<std::string>() }] = block;
             } catch (const std::exception& error) {
                 base::logEvent(LogLevel::Warning, "part.record_unreadable", { { "why", error.what() } });
--- a/src/hub/HubSyncStreams.cpp
+++ b/src/hub/HubSyncStreams.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include "base/Counters.h"
+#include "base/Json.h"
 #include "base/Log.h"
 #include "hub/HubSyncInternal.h"
 
@@ -159,7 +160,7 @@
     if (entry.modRevision == m_streams.storedRevision)
         return;
     m_streams.storedRevision = entry.modRevision;
-    Json json = Json::parse(entry.value, nullptr, false);
+    Json json = base::jsonTryParse(entry.value);
     try {
         for (const Json& row : json.at("versions")) {
             base::Millis age = std::max(base::Millis(0), unixNow() - base::Millis(row.at(2).get<int64_t>()));
--- a/src/idempotency/Claims.cpp
+++ b/src/idempotency/Claims.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "base/Json.h"
 #include "base/Text.h"
 
 namespace rattanshunt::idempotency {
@@ -33,7 +34,7 @@
 
 std::optional<Claim> claimFromText(const std::string& text)
 {
-    json object = json::parse(text, nullptr, false);
+    json object = base::jsonTryParse(text);
     if (!object.is_object())
         return std::nullopt;
     try {
--- a/src/net/PeerConnection.cpp
+++ b/src/net/PeerConnection.cpp
@@ -1,4 +1,5 @@
 #include "net/PeerConnection.h"
+#include "base/Json.h"
 
 namespace rattanshunt::net {
 
@@ -171,7 +172,7 @@
     auto payload = readFrame(maxHandshakeFrameBytes);
     if (!payload)
         return {};
-    json message = json::from_msgpack(payload->begin(), payload->end(), true, false);
+    json message = base::jsonTryParseMessagePack(*payload);
     return message.is_discarded() ? json() : message;
 }
 
--- a/src/net/PeerFrames.cpp
+++ b/src/net/PeerFrames.cpp
@@ -1,5 +1,6 @@
 #include "net/PeerFrames.h"
 
+#include "base/Json.h"
 #include "base/Text.h"
 
 namespace rattanshunt::net {
@@ -62,7 +63,7 @@
     if (!base::equalConstantTime(receivedTag, computeTag(m_receiveKey, m_receivePosition, payload)))
         return std::nullopt;
     ++m_receivePosition;
-    json message = json::from_msgpack(payload.begin(), payload.end(), true, false);
+    json message = base::jsonTryParseMessagePack(payload);
     if (message.is_discarded())
         return std::nullopt;
     return message;
--- a/src/placement/PlacementRecords.cpp
+++ b/src/placement/PlacementRecords.cpp
@@ -1,4 +1,5 @@
 #include "placement/PlacementRecords.h"
+#include "base/Json.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -44,7 +45,7 @@
     template <typename Read>
     auto parseRecord(const std::string& text, Read read) -> std::optional<decltype(read(json()))>
     {
-        json object = json::parse(text, nullptr, false);
+        json object = base::jsonTryParse(text);
         if (!object.is_object())
             return std::nullopt;
         try {
--- a/src/resources/Catalog.cpp
+++ b/src/resources/Catalog.cpp
@@ -1,4 +1,5 @@
 #include "resources/Catalog.h"
+#include "base/Json.h"
 
 #include <fmt/format.h>
 
@@ -10,7 +11,7 @@
 
     void addResource(Catalog& catalog, const ResourceId& id, const fleet::MirrorRecord& record)
     {
-        json object = json::parse(record.value, nullptr, false);
+        json object = base::jsonTryParse(record.value);
         // A stored resource may have been accepted with other limits, so they are not checked again.
         ResourceParseResult parsed = resourceTryParse(id.kind, id.name, object, { base::Millis(0), 0 });
         if (!parsed.resource) {
