Suspect all parts of a prompt, however many it has

Cause: ledgerRecordEnd() looked at 32 entries of an end and dropped the others in silence. The cut-off was expected by a test ("beyond maxPartsPerEnd"); that expectation is replaced by a_part_is_found_wherever_it_stands, and the same place of the same test now expects the newest part to be kept. Ruled out: late or weak evidence (the part is found at the 6th place) and the settled parts.

Change: no limit on parts of an end. Memory is bounded by evidence: the suspects with the fewest ends make room, and daemons are told of the strongest ones only. Limits that drop now count and log it. Sixteen ends at one moment, which count once, no longer fill the list of a part's ends, and ends that no hub has heard of are bounded by bytes.

--- a/src/hub/HubSyncParts.cpp
+++ b/src/hub/HubSyncParts.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+    constexpr size_t maxLoggedChanges = 64; // of one message; a prompt may have some thousand parts
     constexpr int64_t maxBlockCount = 1000; // of one part, that a record is believed to name
 
     // The replicas that ended, each with the age of its end.
@@ -27,6 +28,14 @@
         return text;
     }
 
+    size_t endBytes(const prompts::ReplicaEnd& end)
+    {
+        size_t bytes = sizeof(end);
+        for (const std::string& part : end.parts)
+            bytes += sizeof(part) + part.size();
+        return bytes;
+    }
+
     PartKey keyOf(const Json& row)
     {
         return { row.at(0).get<std::string>(), row.at(1).get<std::string>() };
@@ -69,10 +78,16 @@
     });
     if (own.parts.empty())
         return;
-    m_parts.recentEnds.push_back({ own, ++m_parts.lastSequence });
-    while (m_parts.recentEnds.size() > maxRecentEnds
-        || now - m_parts.recentEnds.front().end.observedAt > prompts::observationMemory)
+    m_parts.recentEnds.push_back({ own, ++m_parts.lastSequence, endBytes(own) });
+    m_parts.recentEndBytes += m_parts.recentEnds.back().bytes;
+    while (m_parts.recentEndBytes > maxRecentEndBytes
+        || now - m_parts.recentEnds.front().end.observedAt > prompts::observationMemory) {
+        const PartSync::SentEnd& oldest = m_parts.recentEnds.front();
+        if (oldest.sequence > m_parts.told.sequence && !m_term.isHeld)
+            base::counterAddLabelled("prompt_evidence_dropped_total", "kind", "untold_end");
+        m_parts.recentEndBytes -= oldest.bytes;
         m_parts.recentEnds.pop_front();
+    }
     if (!m_term.isHeld)
         return requestSync();
     applyPartChanges(prompts::ledgerRecordEnd(m_parts.ledger, own, now), now);
@@ -81,16 +96,19 @@
 void HubSync::recordSettledParts(const std::string& service, const std::vector<std::string>& parts)
 {
     BootTime now = BootClock::now();
+    std::vector<prompts::PartChange> changes;
     for (const std::string& part : parts) {
         PartKey key { service, part };
         if (m_term.isHeld) {
-            applyPartChanges(prompts::ledgerRecordSettled(m_parts.ledger, key, now), now);
+            std::ranges::move(prompts::ledgerRecordSettled(m_parts.ledger, key, now), std::back_inserter(changes));
             continue;
         }
         prompts::settledRecord(m_parts.ledger.settled, key, now);
         if (m_parts.view.suspected.contains(key) || m_parts.view.blocked.contains(key))
             requestSync();
     }
+    if (!changes.empty())
+        applyPartChanges(changes, now);
 }
 
 void HubSync::recordSettledRequest(const std::string& service, const std::string& requestKey)
@@ -125,7 +143,22 @@
 
 void HubSync::applyPartChanges(const std::vector<prompts::PartChange>& changes, BootTime now)
 {
+    uint64_t drops = m_parts.ledger.droppedSuspects + m_parts.ledger.droppedBlocks;
+    if (drops != m_parts.reportedDrops) {
+        base::counterAddLabelled(
+            "prompt_evidence_dropped_total", "kind", "ledger", static_cast<int64_t>(drops - m_parts.reportedDrops));
+        base::logEvent(LogLevel::Warning, "part.limit_reached",
+            { { "suspects_dropped", m_parts.ledger.droppedSuspects },
+                { "blocks_dropped", m_parts.ledger.droppedBlocks }, { "suspected", m_parts.ledger.suspected.size() },
+                { "blocked", m_parts.ledger.blocked.size() } });
+        m_parts.reportedDrops = drops;
+    }
+    size_t logged = 0;
     for (const prompts::PartChange& change : changes) {
+        if (++logged > maxLoggedChanges) {
+            base::logEvent(LogLevel::Info, "part.more_changes", { { "count", changes.size() - maxLoggedChanges } });
+            break;
+        }
         bool isBlocked = change.kind == prompts::PartChangeKind::Blocked;
         const char* event = isBlocked                           ? "part.accused"
             : change.kind == prompts::PartChangeKind::Suspected ? "part.suspected"
@@ -205,9 +238,11 @@
 
 void HubSync::applyMemberParts(const Json& body, BootTime now)
 {
+    std::vector<prompts::PartChange> changes;
     if (body.contains("settled_parts")) {
         for (const Json& row : body.at("settled_parts"))
-            applyPartChanges(prompts::ledgerRecordSettled(m_parts.ledger, keyOf(row), now), now);
+            std::ranges::move(
+                prompts::ledgerRecordSettled(m_parts.ledger, keyOf(row), now), std::back_inserter(changes));
     }
     if (body.contains("replica_ends")) {
         for (const Json& row : body.at("replica_ends")) {
@@ -216,9 +251,10 @@
             end.observedAt = now - base::Millis(row.at(2).get<int64_t>());
             end.service = row.at(3).get<std::string>();
             end.parts = row.at(4).get<std::vector<std::string>>();
-            applyPartChanges(prompts::ledgerRecordEnd(m_parts.ledger, end, now), now);
+            std::ranges::move(prompts::ledgerRecordEnd(m_parts.ledger, end, now), std::back_inserter(changes));
         }
     }
+    applyPartChanges(changes, now);
     advanceParts(now);
 }
 
@@ -249,8 +285,16 @@
 {
     body["parts_version"] = m_parts.hubVersion;
     Json ends = Json::array();
-    for (const auto& [end, sequence] : m_parts.recentEnds) {
-        if (sequence > m_parts.told.sequence && now - end.observedAt <= prompts::observationMemory)
+    size_t bytes = 0;
+    uint64_t last = m_parts.told.sequence;
+    for (const auto& [end, sequence, endSize] : m_parts.recentEnds) {
+        if (sequence <= m_parts.told.sequence)
+            continue;
+        bytes += endSize;
+        if (bytes > maxEndBytesPerCall && !ends.empty())
+            break;
+        last = sequence;
+        if (now - end.observedAt <= prompts::observationMemory)
             ends.push_back(
                 { end.life.replica, end.life.startedAtMillis, ageMillis(now, end.observedAt), end.service, end.parts });
     }
@@ -267,7 +311,7 @@
         addSettled(key);
     if (!settled.empty())
         body["settled_parts"] = std::move(settled);
-    return m_parts.lastSequence;
+    return last;
 }
 
 void HubSync::applyPartsReply(const Json& body, BootTime requestedAt, uint64_t sentSequence, bool isHub)
--- a/src/prompts/PartLedger.cpp
+++ b/src/prompts/PartLedger.cpp
@@ -52,21 +52,40 @@
         });
     }
 
-    // Makes room for one more part or request: drops the one of its kind with the fewest ends, the oldest of these.
+    using Suspects = std::map<PartKey, std::vector<PartEnd>>;
+
+    std::pair<size_t, BootTime> strength(const std::vector<PartEnd>& ends)
+    {
+        return { ends.size(), newestEnd(ends) };
+    }
+
+    std::vector<Suspects::iterator> suspectsOfKind(Suspects& suspected, bool areRequests)
+    {
+        std::vector<Suspects::iterator> found;
+        for (auto item = suspected.begin(); item != suspected.end(); ++item) {
+            if (isRequestKey(item->first.part) == areRequests)
+                found.push_back(item);
+        }
+        return found;
+    }
+
+    // Drops those of their kind with the fewest ends, the oldest of these, if there are too many. Of parts, which come
+    // in thousands, it drops more than needed, so that the next ones find room.
     void limitSuspected(PartLedger& ledger, bool areRequests)
     {
-        auto isOfKind = [&](const auto& item) { return isRequestKey(item.first.part) == areRequests; };
-        auto count = std::count_if(ledger.suspected.begin(), ledger.suspected.end(), isOfKind);
-        if (static_cast<size_t>(count) <= (areRequests ? maxSuspectedRequests : maxSuspectedParts))
+        size_t limit = areRequests ? maxSuspectedRequests : maxSuspectedParts;
+        if (ledger.suspected.size() <= limit)
             return;
-        auto weakest = ledger.suspected.end();
-        auto strength = [](const std::vector<PartEnd>& ends) { return std::pair(ends.size(), newestEnd(ends)); };
-        for (auto item = ledger.suspected.begin(); item != ledger.suspected.end(); ++item) {
-            if (isOfKind(*item)
-                && (weakest == ledger.suspected.end() || strength(item->second) < strength(weakest->second)))
-                weakest = item;
-        }
-        ledger.suspected.erase(weakest);
+        auto found = suspectsOfKind(ledger.suspected, areRequests);
+        if (found.size() <= limit)
+            return;
+        auto excess = static_cast<std::ptrdiff_t>(found.size() - limit + (areRequests ? 0 : limit / 8));
+        std::nth_element(found.begin(), found.begin() + excess, found.end(),
+            [](auto a, auto b) { return strength(a->second) < strength(b->second); });
+        for (auto item = found.begin(); item != found.begin() + excess; ++item)
+            ledger.suspected.erase(*item);
+        ledger.droppedSuspects += static_cast<uint64_t>(excess);
+        ++ledger.version;
     }
 
     void limitBlocked(PartLedger& ledger)
@@ -75,11 +94,22 @@
             auto oldest = std::min_element(ledger.blocked.begin(), ledger.blocked.end(),
                 [](const auto& a, const auto& b) { return a.second.until < b.second.until; });
             ledger.blocked.erase(oldest);
+            ++ledger.droppedBlocks;
         }
     }
 
+    // The end that is dropped for another one: one that counts together with its neighbour, or else the oldest.
+    std::vector<PartEnd>::iterator endToDrop(std::vector<PartEnd>& ends, base::Duration spacing)
+    {
+        std::sort(
+            ends.begin(), ends.end(), [](const PartEnd& a, const PartEnd& b) { return a.observedAt < b.observedAt; });
+        auto isTogether = [&](const PartEnd& a, const PartEnd& b) { return b.observedAt - a.observedAt < spacing; };
+        auto together = std::adjacent_find(ends.begin(), ends.end(), isTogether);
+        return together == ends.end() ? ends.begin() : std::next(together);
+    }
+
     // Records the end of a life. Returns false if it was known.
-    bool mergeEnd(std::vector<PartEnd>& ends, const PartEnd& end)
+    bool mergeEnd(std::vector<PartEnd>& ends, const PartEnd& end, base::Duration spacing)
     {
         for (PartEnd& known : ends) {
             if (known.life == end.life) {
@@ -87,12 +117,17 @@
                 return false;
             }
         }
-        if (ends.size() >= maxEndsPerPart)
-            return false;
         ends.push_back(end);
+        if (ends.size() > maxEndsPerPart)
+            ends.erase(endToDrop(ends, spacing));
         return true;
     }
 
+    base::Duration spacingOf(const PartKey& key)
+    {
+        return isRequestKey(key.part) ? requestEndSpacing : endSpacing;
+    }
+
     void block(PartLedger& ledger, const PartKey& key, const std::vector<PartEnd>& ends, size_t required, BootTime now)
     {
         PartBlock& entry = ledger.blocked[key];
@@ -134,22 +169,23 @@
     std::vector<PartChange> changes;
     if (now - end.observedAt >= endLifetime)
         return changes;
-    for (size_t i = 0; i < end.parts.size() && i < maxPartsPerEnd; ++i) {
-        PartKey key { end.service, end.parts[i] };
+    for (const std::string& part : end.parts) {
+        PartKey key { end.service, part };
         if (settledContains(ledger.settled, key, now))
             continue;
         auto blocked = ledger.blocked.find(key);
         if (blocked != ledger.blocked.end() && end.observedAt < blocked->second.until)
             continue;
         std::vector<PartEnd>& ends = ledger.suspected[key];
-        if (!mergeEnd(ends, { end.life, end.observedAt }))
+        if (!mergeEnd(ends, { end.life, end.observedAt }, spacingOf(key)))
             continue;
         size_t toldFrom = isRequestKey(key.part) ? endsToTellRequest : 1;
         ledger.version += ends.size() >= toldFrom;
         if (ends.size() == toldFrom)
             changes.push_back({ PartChangeKind::Suspected, key, ends, "", {} });
-        limitSuspected(ledger, isRequestKey(key.part));
     }
+    limitSuspected(ledger, false);
+    limitSuspected(ledger, true);
     return changes;
 }
 
@@ -191,8 +227,7 @@
         ledger.version += voidCount + oldCount > 0;
         bool isOnProbation = ledger.blocked.contains(item->first);
         size_t required = isOnProbation ? endsToBlockOnProbation : endsToBlock;
-        bool isBlocked
-            = effectiveEnds(ends, isRequestKey(item->first.part) ? requestEndSpacing : endSpacing, now) >= required;
+        bool isBlocked = effectiveEnds(ends, spacingOf(item->first), now) >= required;
         if (!isBlocked && !ends.empty()) {
             ++item;
             continue;
@@ -238,12 +273,25 @@
 {
     PartView view;
     view.version = ledger.version;
-    for (const auto& [key, ends] : ledger.suspected) {
-        if (isRequestKey(key.part) && ends.size() < endsToTellRequest)
-            continue;
-        std::vector<ReplicaLife>& lives = view.suspected[key];
-        for (const PartEnd& end : ends)
+    using Suspect = const std::pair<const PartKey, std::vector<PartEnd>>*;
+    std::vector<Suspect> parts;
+    auto tell = [&](Suspect suspect) {
+        std::vector<ReplicaLife>& lives = view.suspected[suspect->first];
+        for (const PartEnd& end : suspect->second)
             lives.push_back(end.life);
+    };
+    for (const auto& item : ledger.suspected) {
+        if (!isRequestKey(item.first.part))
+            parts.push_back(&item);
+        else if (item.second.size() >= endsToTellRequest)
+            tell(&item);
+    }
+    if (parts.size() > maxToldSingleParts)
+        std::stable_sort(
+            parts.begin(), parts.end(), [](Suspect a, Suspect b) { return strength(a->second) > strength(b->second); });
+    for (size_t i = 0; i < std::min(parts.size(), maxToldParts); ++i) {
+        if (i < maxToldSingleParts || parts[i]->second.size() > 1)
+            tell(parts[i]);
     }
     for (const auto& [key, entry] : ledger.blocked)
         view.blocked[key] = { entry.until, entry.count, {}, 0 };
--- a/src/prompts/PartLedger.h
+++ b/src/prompts/PartLedger.h
@@ -42,13 +42,14 @@
 
 // ---- [1] Data ----------------------------------------------------------------------------------
 
-constexpr size_t maxSuspectedParts = 256;
+constexpr size_t maxSuspectedParts = 16384; // a header holds some thousand; those with the fewest ends are dropped
 constexpr size_t maxSuspectedRequests = 2048;
-constexpr size_t endsToTellRequest = 2; // from which daemons are told of a suspected request
-constexpr size_t maxBlockedParts = 256;
-constexpr size_t maxSettledParts = 4096;
+constexpr size_t maxToldParts = 1024;      // suspected parts that daemons are told of, those with the most ends first
+constexpr size_t maxToldSingleParts = 256; // up to which parts with one end are among them
+constexpr size_t endsToTellRequest = 2;    // from which daemons are told of a suspected request
+constexpr size_t maxBlockedParts = 2048;
+constexpr size_t maxSettledParts = 16384;
 constexpr size_t maxEndsPerPart = 16;
-constexpr size_t maxPartsPerEnd = 32;            // of one request; further parts are not suspected
 constexpr size_t endsToBlock = 3;                // effective ends on distinct lives
 constexpr size_t endsToBlockOnProbation = 1;     // the same after a block
 constexpr base::Millis reportWait { 1000 };      // for a report of the same life, before an end takes effect
@@ -121,7 +122,9 @@
     std::map<PartKey, std::vector<PartEnd>> suspected; // ends of distinct lives
     std::map<PartKey, PartBlock> blocked;              // also those on probation
     SettledParts settled;
-    uint64_t version = 0; // incremented by each change of what ledgerView() returns
+    uint64_t version = 0;         // incremented by each change of what ledgerView() returns
+    uint64_t droppedSuspects = 0; // parts and requests that made room for others
+    uint64_t droppedBlocks = 0;   // the same of blocked ones
 };
 
 // What every daemon knows.
--- a/tests/CrashingPromptPartFixture.h
+++ b/tests/CrashingPromptPartFixture.h
@@ -35,6 +35,8 @@
     bool isSendingCrashing = true;
     int sequence = 0;
     int crashingSent = 0;
+    std::string otherParts = "aa:20,cc:20"; // of all prompts, before the crashing part
+    size_t ownParts = 0;                    // of a crashing prompt alone, before its crashing part
     size_t openCalls = 0;
     size_t senders = 0;
 
@@ -153,7 +155,7 @@
     }
 
     // The last part of each prompt is its own; sound and crashing requests share the key and all other parts.
-    void sendSound(size_t index, const std::string& sharedParts = "aa:20,cc:20")
+    void sendSound(size_t index, const std::string& sharedParts)
     {
         sound.push_back({ base::Clock::now(), false });
         send(index, fmt::format("{},f{:x}:20", sharedParts, sound.size()),
@@ -163,10 +165,15 @@
     }
     void sendCrashing(size_t index, const std::string& part)
     {
-        send(index, fmt::format("aa:20,cc:20,{}:10,e{:x}:10", part, ++crashingSent), [](const CallerResponse&) {});
+        std::string own;
+        for (size_t i = 0; i < ownParts; ++i)
+            own += fmt::format("d{:x}-{:x}:1,", crashingSent, i);
+        send(index, fmt::format("{},{}{}:10,e{:x}:10", otherParts, own, part, ++crashingSent),
+            [](const CallerResponse&) {});
     }
 
-    void startSound(base::Millis interval = base::Millis(40), const std::string& sharedParts = "aa:20,cc:20")
+    void startSound(base::Millis interval = base::Millis(40)) { startSound(interval, otherParts); }
+    void startSound(base::Millis interval, const std::string& sharedParts)
     {
         ++senders;
         loop.spawn([this, interval, sharedParts] {
--- a/tests/CrashingPromptPartTests.cpp
+++ b/tests/CrashingPromptPartTests.cpp
@@ -22,6 +22,18 @@
     });
 }
 
+// Guards against parts far back in a long prompt that were never suspected (review/2).
+Test(crashing_prompt_part, is_found_far_back_in_a_long_prompt, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        for (size_t before : { 35, 800 }) {
+            CrashingPartFixture fixture(loop);
+            fixture.ownParts = before - 2;
+            fixture.checkRule(1, [] {});
+        }
+    });
+}
+
 // The first event of an answer does not show that its prompt is harmless.
 Test(crashing_prompt_part, is_found_although_replicas_end_after_the_first_event, .timeout = 60)
 {
--- a/tests/PartLedgerTests.cpp
+++ b/tests/PartLedgerTests.cpp
@@ -225,28 +225,101 @@
 
 // ---- Bounds -------------------------------------------------------------------------------------
 
+namespace {
+
+// Shared parts p0, p1, ... with `guilty` at the place `index`.
+std::vector<std::string> partsWith(const std::string& guilty, size_t index, size_t count, const std::string& prefix)
+{
+    std::vector<std::string> parts;
+    for (size_t i = 0; i < count; ++i)
+        parts.push_back(i == index ? guilty : fmt::format("{}{}", prefix, i));
+    return parts;
+}
+
+} // namespace
+
+// Guards against a limit on parts of one request that left the guilty one out (review/2).
+Test(part_ledger, a_part_is_found_wherever_it_stands)
+{
+    for (size_t index : { 0, 30, 31, 32, 35, 100, 1000, 2999 }) {
+        PartLedger ledger;
+        for (int i = 0; i < 3; ++i) {
+            std::vector<std::string> parts = partsWith("bad", index, 3000, fmt::format("own-{}-", i));
+            ledgerRecordEnd(ledger, endOf(fmt::format("r{}", i), 1, parts, i * 100), bootAt(i * 100));
+        }
+        ledgerAdvance(ledger, noReport, bootAt(1200));
+        cr_expect(isBlocked(ledger, "bad", bootAt(1200)), "not found at place %zu", index);
+        cr_expect_eq(ledger.blocked.size(), 1);
+    }
+}
+
+// The parts that all requests share are innocent once an answer with them has settled at any daemon.
+Test(part_ledger, of_a_long_prompt_only_the_part_that_never_settles_stays_blocked)
+{
+    PartLedger ledger;
+    std::vector<std::string> parts = partsWith("bad", 700, 1000, "shared-");
+    recordThreeEnds(ledger, parts);
+    ledgerAdvance(ledger, noReport, bootAt(1200));
+    cr_expect(isBlocked(ledger, "bad", bootAt(1200)));
+    for (const auto& [key, block] : ledgerView(ledger).blocked) {
+        if (key.part != "bad")
+            ledgerRecordSettled(ledger, key, bootAt(1300));
+    }
+    cr_expect_eq(ledger.blocked.size(), 1);
+    cr_expect(isBlocked(ledger, "bad", bootAt(1300)));
+}
+
 Test(part_ledger, memory_is_bounded_and_the_strongest_suspicion_stays)
 {
     PartLedger ledger;
     recordThreeEnds(ledger, { "bad" });
     for (int i = 0; i < 2000; ++i) {
-        std::vector<std::string> parts;
-        for (int k = 0; k < 40; ++k)
-            parts.push_back(fmt::format("p{}-{}", i, k));
-        ledgerRecordEnd(ledger, endOf("other", i, parts, 300), bootAt(300));
+        ledgerRecordEnd(ledger, endOf("other", i, partsWith("", 40, 40, fmt::format("p{}-", i)), 300), bootAt(300));
         ledgerRecordSettled(ledger, keyOf(fmt::format("s{}", i)), bootAt(300 + i));
+        cr_assert_leq(ledger.suspected.size(), maxSuspectedParts);
     }
-    for (int i = 0; i < 3000; ++i)
-        settledRecord(ledger.settled, keyOf(fmt::format("t{}", i)), bootAt(5000 + i));
-    cr_expect_leq(ledger.suspected.size(), maxSuspectedParts);
+    for (size_t i = 0; i < maxSettledParts; ++i)
+        settledRecord(ledger.settled, keyOf(fmt::format("t{}", i)), bootAt(5000 + static_cast<double>(i)));
+    cr_expect_gt(ledger.droppedSuspects, 0);
     cr_expect_eq(ledger.settled.settledAt.size(), maxSettledParts);
     cr_expect_eq(ledger.settled.byTime.size(), maxSettledParts);
     cr_expect(ledger.suspected.contains(keyOf("bad")));
-    cr_expect_not(ledger.suspected.contains(keyOf("p1999-39")), "beyond maxPartsPerEnd");
+    cr_expect(ledger.suspected.contains(keyOf("p1999-39")), "the newest of the weakest");
+    cr_expect_leq(ledgerView(ledger).suspected.size(), maxToldParts);
+    cr_expect(ledgerView(ledger).suspected.contains(keyOf("bad")));
     ledgerAdvance(ledger, noReport, bootAt(2000));
     cr_expect(isBlocked(ledger, "bad", bootAt(2000)));
 }
 
+// Sixteen replicas that lose power together count once; the ends under a guilty part that follow must still count.
+Test(part_ledger, many_ends_at_one_moment_leave_room_for_later_ones)
+{
+    PartLedger ledger;
+    for (int i = 0; i < 40; ++i)
+        ledgerRecordEnd(ledger, endOf(fmt::format("r{}", i), 1, { "bad" }, i * 0.5), bootAt(20));
+    ledgerAdvance(ledger, noReport, bootAt(2000));
+    cr_expect_not(isBlocked(ledger, "bad", bootAt(2000)));
+    for (int i = 1; i < 3; ++i) {
+        ledgerRecordEnd(ledger, endOf(fmt::format("s{}", i), 1, { "bad" }, i * 3000), bootAt(i * 3000));
+        cr_expect_leq(ledger.suspected.at(keyOf("bad")).size(), maxEndsPerPart);
+    }
+    ledgerAdvance(ledger, noReport, bootAt(8000));
+    cr_expect(isBlocked(ledger, "bad", bootAt(8000)));
+}
+
+Test(part_ledger, daemons_are_told_of_the_parts_with_the_most_ends)
+{
+    PartLedger ledger;
+    ledgerRecordEnd(ledger, endOf("r0", 1, partsWith("bad", 2500, 3000, "a"), 0), bootAt(0));
+    cr_expect_eq(ledgerView(ledger).suspected.size(), maxToldSingleParts);
+    ledgerRecordEnd(ledger, endOf("r1", 1, partsWith("bad", 10, 3000, "b"), 100), bootAt(100));
+    cr_expect_eq(ledgerView(ledger).suspected.size(), maxToldSingleParts);
+    cr_expect(ledgerView(ledger).suspected.contains(keyOf("bad")));
+    ledgerRecordEnd(ledger, endOf("r2", 1, partsWith("bad", 5, 3000, "a"), 200), bootAt(200));
+    cr_expect_eq(ledgerView(ledger).suspected.size(), maxToldParts);
+    cr_expect(ledgerView(ledger).suspected.contains(keyOf("bad")));
+}
+
 // ---- Requests -----------------------------------------------------------------------------------
 
 Test(part_ledger, other_requests_that_end_beside_it_do_not_crowd_out_the_guilty_one)
