Believe that a service has one version only on recent knowledge

Callers at a machine that was out of step (cut off, or standing still) during a release could get a stream joined from two versions: the stream had begun at a version that this machine had not heard of, broke, and went on at the only one it knew (ORDER; reported by an operator of a similar system).

Cause: a take-up of unknown origin was allowed if this daemon knew of one version, whatever the age of that knowledge and also if the hub did not answer, and was bound to no version. Ruled out: wrong origins and the request's own retries.

Change: one version is believed from a hub whose last read is recent, or from a read of the store begun after the take-up arrived, which is begun if needed; else the take-up is refused. A take-up that goes on is bound to that version.

--- a/src/gateway/GatewayStreams.cpp
+++ b/src/gateway/GatewayStreams.cpp
@@ -16,13 +16,13 @@
     streams::TakeUpKnowledge knowledge = m_hubSync.takeUpKnowledge(request.service->name, request.head.resumedId);
     streams::TakeUp takeUp = streams::takeUpDecide(knowledge);
     base::counterAddLabelled("stream_take_ups_total", "origin",
-        takeUp.version           ? "known"
+        knowledge.isRemembered   ? "known"
             : takeUp.mayContinue ? "one_version"
                                  : "unknown");
     base::logEvent(LogLevel::Info, "stream.taken_up",
         { { "id", request.head.id }, { "resumes", request.head.resumedId }, { "after", request.head.lastEventId },
-            { "version", takeUp.version.value_or("") }, { "is_known", takeUp.version.has_value() },
-            { "mixed", knowledge.isMixed }, { "took_ms", base::millisOf(BootClock::now() - request.arrivedAt) } });
+            { "version", takeUp.version }, { "is_known", knowledge.isRemembered },
+            { "took_ms", base::millisOf(BootClock::now() - request.arrivedAt) } });
     if (!takeUp.mayContinue) {
         refuse(request, 503, "stream_version_unknown", std::nullopt);
         return false;
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -314,6 +314,7 @@
     // -- versions that began streams --
     bool versionsAreMixed(const std::string& service) const;
     bool anyVersionsAreMixed() const;
+    bool versionsAreKnown(base::BootTime takenUpAt) const;
     void seeVersions(base::BootTime now);
     uint64_t addStreamsToRequest(nlohmann::json& body);
     void applyMemberStreams(const nlohmann::json& body, base::BootTime now);
--- a/src/hub/HubSyncStreams.cpp
+++ b/src/hub/HubSyncStreams.cpp
@@ -72,18 +72,32 @@
     m_originWriter.setConditions(anyVersionsAreMixed(), memberCount());
 }
 
+bool HubSync::versionsAreKnown(BootTime takenUpAt) const
+{
+    bool isHub = m_term.isHeld && !termIsOver(m_term, BootClock::now());
+    return streams::versionsAreKnown({ isHub, m_freshAsOf, m_options.hubReadInterval }, takenUpAt);
+}
+
 streams::TakeUpKnowledge HubSync::takeUpKnowledge(const std::string& service, const std::string& requestId)
 {
     StreamKey key = streams::streamKey(requestId);
-    for (int i = 0; i < originCalls; ++i) {
+    BootTime takenUpAt = BootClock::now();
+    bool isOneVersion = false;
+    for (int i = 0; i <= originCalls && !isOneVersion; ++i) {
         if (i > 0)
             net::sleepFor(originCallInterval);
         if (auto version = streams::originFind(m_streams.origins, key, service))
             return { version, true };
+        bool isMixed = versionsAreMixed(service);
+        if (!isMixed && versionsAreKnown(takenUpAt)) {
+            isOneVersion = true;
+            continue;
+        }
         if (m_term.isHeld || !m_hubRecord || !m_isHubReachable || !m_peers) {
-            if (!versionsAreMixed(service) || !(hasHub() || m_storeIsReachable))
-                break;
-            refreshOrigins();
+            if (isMixed)
+                refreshOrigins();
+            else if (!m_refresh.isUnderWay)
+                beginRefresh();
             continue;
         }
         net::PeerResult result = m_peers->call(m_hubRecord->address, "stream",
@@ -95,10 +109,11 @@
             streams::originRecord(m_streams.origins, key, { service, version, BootClock::now() });
             return { version, true };
         }
-        if (!result.body.value("mixed", true) && !versionsAreMixed(service))
-            return { std::nullopt, false };
+        isOneVersion = !result.body.value("mixed", true);
     }
-    return { std::nullopt, versionsAreMixed(service) };
+    if (!isOneVersion)
+        return {};
+    return { streams::versionsOnly(m_streams.versions, service, BootClock::now()), false };
 }
 
 // ---- Messages ----------------------------------------------------------------------------------
@@ -147,7 +162,8 @@
     if (termIsOver(m_term, BootClock::now()))
         return Json { { "hub", false } };
     std::string service = body.at("service").get<std::string>();
-    Json reply { { "hub", true }, { "mixed", versionsAreMixed(service) } };
+    bool mayBeMixed = versionsAreMixed(service) || !versionsAreKnown(BootClock::now());
+    Json reply { { "hub", true }, { "mixed", mayBeMixed } };
     if (auto version = streams::originFind(m_streams.origins, body.at("key").get<StreamKey>(), service))
         reply["version"] = *version;
     else if (versionsAreMixed(service))
--- a/src/streams/StreamOrigins.cpp
+++ b/src/streams/StreamOrigins.cpp
@@ -1,6 +1,7 @@
 #include "streams/StreamOrigins.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "base/Text.h"
 
@@ -48,14 +49,33 @@
     last = std::max(last, seenAt);
 }
 
+namespace {
+
+    // Up to two of the versions whose streams may still be taken up.
+    std::vector<std::string> recentVersions(const VersionHistory& history, const std::string& service, BootTime now)
+    {
+        std::vector<std::string> recent;
+        auto found = history.find(service);
+        if (found == history.end())
+            return recent;
+        for (const auto& [version, seenAt] : found->second) {
+            if (now - seenAt <= originLifetime && recent.size() < 2)
+                recent.push_back(version);
+        }
+        return recent;
+    }
+
+} // namespace
+
 bool versionsAreMixed(const VersionHistory& history, const std::string& service, BootTime now)
 {
-    auto found = history.find(service);
-    if (found == history.end())
-        return false;
-    return std::count_if(found->second.begin(), found->second.end(), [&](const auto& item) {
-        return now - item.second <= originLifetime;
-    }) > 1;
+    return recentVersions(history, service, now).size() > 1;
+}
+
+std::optional<std::string> versionsOnly(const VersionHistory& history, const std::string& service, BootTime now)
+{
+    std::vector<std::string> recent = recentVersions(history, service, now);
+    return recent.size() == 1 ? std::optional(recent.front()) : std::nullopt;
 }
 
 } // namespace rattanshunt::streams
--- a/src/streams/StreamOrigins.h
+++ b/src/streams/StreamOrigins.h
@@ -66,22 +66,41 @@
 // Whether streams of more than one version may still be taken up.
 bool versionsAreMixed(const VersionHistory&, const std::string& service, base::BootTime now);
 
+// The only version whose streams may still be taken up; nothing if there are several or none.
+std::optional<std::string> versionsOnly(const VersionHistory&, const std::string& service, base::BootTime now);
+
 // ---- [3] Take-ups ------------------------------------------------------------------------------
 
 struct TakeUpKnowledge {
-    std::optional<std::string> version; // that began the stream, if it is known
-    bool isMixed = false;               // the service has several versions, or had them recently
+    std::optional<std::string> version; // that began the stream, or the only one that may have begun it
+    bool isRemembered = false;          // the stream's origin is known
 };
 
 struct TakeUp {
     bool mayContinue = false;
-    std::optional<std::string> version; // at which alone the stream goes on; empty: at any, as there is only one
+    std::string version; // at which alone the stream goes on, also if another one appears before it is sent
 };
 
-// A stream of unknown origin goes on only if all replicas that may have begun it had the same version.
+// A stream of unknown origin goes on only if all replicas that may have begun it had the same version. Whoever says so
+// must know of the replicas that were listed when the take-up arrived: others may have begun streams at a version that
+// this daemon has not heard of.
 inline TakeUp takeUpDecide(const TakeUpKnowledge& knowledge)
 {
-    return { knowledge.version || !knowledge.isMixed, knowledge.version };
+    return { knowledge.version.has_value(), knowledge.version.value_or("") };
+}
+
+// Whether what a daemon knows of versions is recent enough to say that a service has only one. A hub's members hear of
+// versions through it, so its last read is; a daemon that reads the store itself must have begun to after the take-up
+// arrived.
+struct VersionKnowledge {
+    bool isHub = false; // and its term is not over
+    base::BootTime freshAsOf {};
+    base::Millis hubReadInterval { 600 };
+};
+
+inline bool versionsAreKnown(const VersionKnowledge& knowledge, base::BootTime takenUpAt)
+{
+    return knowledge.freshAsOf >= takenUpAt - (knowledge.isHub ? 2 * knowledge.hubReadInterval : base::Millis(0));
 }
 
 } // namespace rattanshunt::streams
--- a/tests/StreamVersionTests.cpp
+++ b/tests/StreamVersionTests.cpp
@@ -2,6 +2,7 @@
 // that began it, whichever gateway the caller comes back to.
 #include <fmt/format.h>
 
+#include "FaultProxy.h"
 #include "GatewayFleet.h"
 #include "Support.h"
 
@@ -200,6 +201,73 @@
     });
 }
 
+// Guards against a machine that is out of step during a release: it knows one version, and other machines have begun
+// streams at another one.
+Test(stream_version, a_gateway_out_of_step_joins_no_streams, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1" }, 1);
+        FaultProxy store(loop, fixture.fleet.store().address());
+        std::string error;
+        cr_assert(store.listen(error));
+        LabGateway& late = fixture.fleet.addGateway("late", store.address());
+        cr_assert(fixture.fleet.waitReady());
+        net::sleepFor(base::Millis(700));
+        // It reaches neither the store nor a hub from now on, and knows no other member.
+        store.setMode(ProxyMode::Stall);
+        fixture.fleet.kill(*fixture.gateways[0]);
+        fixture.gateways.clear();
+        fixture.addReplica("v2");
+        fixture.addReplica("v2");
+        fixture.addGateway();
+        while (fixture.gateways[0]->hubSync.directory().replicas.size() < 4)
+            net::sleepFor(base::Millis(5));
+        size_t calls = 0;
+        for (int i = 0; i < 30; ++i) {
+            ++calls;
+            loop.spawn([&, id = fmt::format("{:016x}", 0xc0000000 + i)] {
+                CallerResponse response
+                    = fixture.fleet.call(*fixture.gateways[0], labRequest("/stream/", id, "m1"), base::Millis(300));
+                size_t at = response.body.rfind("id: ");
+                if (at != std::string::npos)
+                    fixture.broken.push_back({ id, std::to_string(std::stoi(response.body.substr(at + 4))) });
+                --calls;
+            });
+        }
+        while (calls)
+            net::sleepFor(base::Millis(5));
+        cr_assert_gt(fixture.broken.size(), 20);
+        fixture.gateways[0] = &late;
+        fixture.takeUp(); // checks that none is joined
+        store.setMode(ProxyMode::Pass);
+        store.stop();
+    });
+}
+
+// A take-up may wait for its model, and another version appear meanwhile (review/3): it is bound to the version that
+// was the only one when it arrived, and that only if the knowledge is recent enough.
+Test(stream_version, a_take_up_is_bound_to_the_only_version_that_may_have_begun_it)
+{
+    using namespace streams;
+    base::BootTime now = base::BootTime {} + base::Seconds(1000);
+    VersionHistory history;
+    cr_expect_not(takeUpDecide({ versionsOnly(history, "engine", now), false }).mayContinue, "no version is known");
+    versionsSee(history, "engine", "v1", now);
+    TakeUp only = takeUpDecide({ versionsOnly(history, "engine", now), false });
+    cr_expect(only.mayContinue);
+    cr_expect_str_eq(only.version.c_str(), "v1");
+    versionsSee(history, "engine", "v2", now);
+    cr_expect_not(takeUpDecide({ versionsOnly(history, "engine", now), false }).mayContinue);
+    cr_expect_str_eq(takeUpDecide({ "v2", true }).version.c_str(), "v2");
+    versionsSee(history, "engine", "v2", now + originLifetime);
+    cr_expect_str_eq(versionsOnly(history, "engine", now + originLifetime + base::Millis(1))->c_str(), "v2");
+
+    cr_expect(versionsAreKnown({ false, now, base::Millis(600) }, now));
+    cr_expect_not(versionsAreKnown({ false, now - base::Millis(1), base::Millis(600) }, now));
+    cr_expect(versionsAreKnown({ true, now - base::Millis(1200), base::Millis(600) }, now));
+    cr_expect_not(versionsAreKnown({ true, now - base::Millis(1201), base::Millis(600) }, now));
+}
+
 // Nobody knows of these streams: their gateways are gone, and they began too late to be written.
 Test(stream_version, streams_of_unknown_version_are_refused_at_once, .timeout = 60)
 {
