Refuse in a planned stop what would not end before the process does

Callers whose requests came late in the grace of a planned stop lost them: they were taken, passed on and cut without an answer when the process ended, also those that may run only once (LOST; reported by an operator of a similar system).

Cause: nothing compared a request's time limit, or the time that such requests take, with what was left, and _Exit closed the connections of all that was under way. Ruled out: requests whose bytes have arrived and are not read, which earlier tests of stop/* cover.

Change: a request is sent only if its time limit or its route's usual time ends before the process does; otherwise it is refused at once, and has not run. 0.2 s before the end what was sent gets 502, which promises nothing, instead of a closed connection.

--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -32,7 +32,8 @@
     // Load balancers probe once per second and drop this daemon after two failed probes.
     constexpr base::Millis loadBalancerDelay { 2500 };
     constexpr base::Millis drainPollInterval { 20 };
-    constexpr base::Millis exitMargin { 300 }; // before the end of the termination grace period
+    constexpr base::Millis exitMargin { 300 };   // before the end of the termination grace period
+    constexpr base::Millis answerMargin { 200 }; // before the exit, for answers to requests that did not end in time
 
     std::string readFile(const std::string& path)
     {
@@ -204,22 +205,31 @@
             BootTime exitDeadline = startedAt + m_settings.terminationGracePeriod - exitMargin;
             m_isStopping = true;
             base::logEvent(LogLevel::Info, "gateway.stopping", { { "under_way", m_gateway.requestsInFlight() } });
-            m_gateway.beginDrain();
+            m_gateway.beginDrain(exitDeadline - answerMargin);
             m_hubSync.leaveElection();
             while (BootClock::now() < std::min(exitDeadline, startedAt + loadBalancerDelay))
                 net::sleepFor(drainPollInterval);
             m_gateway.stopAccepting();
             // Connections count too: a request may have arrived that is not read completely yet.
-            while ((m_gateway.requestsInFlight() || m_gateway.connectionCount()) && BootClock::now() < exitDeadline)
-                net::sleepFor(drainPollInterval);
+            waitForConnections(exitDeadline - answerMargin);
+            size_t endedCount = m_gateway.requestsInFlight();
+            m_gateway.endRequests();
+            waitForConnections(exitDeadline);
             base::logEvent(LogLevel::Info, "gateway.stopped",
-                { { "cut", m_gateway.requestsInFlight() }, { "connections", m_gateway.connectionCount() } });
+                { { "ended", endedCount }, { "cut", m_gateway.requestsInFlight() },
+                    { "connections", m_gateway.connectionCount() } });
             m_hasStopped = true;
             base::logFlush();
             // Exits without destroying anything: fibers of unfinished requests still refer to this object.
             std::_Exit(0);
         }
 
+        void waitForConnections(BootTime until)
+        {
+            while ((m_gateway.requestsInFlight() || m_gateway.connectionCount()) && BootClock::now() < until)
+                net::sleepFor(drainPollInterval);
+        }
+
         settings::GatewaySettings m_settings;
         net::Loop m_loop;
         gateway::WireCodec m_codec;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -89,22 +89,6 @@
     return true;
 }
 
-void Gateway::beginDrain()
-{
-    m_isDraining = true;
-    wakeWaiting();
-}
-
-void Gateway::stopAccepting()
-{
-    m_server->stopAccepting();
-}
-
-void Gateway::closeAll()
-{
-    m_server->closeAll();
-}
-
 void Gateway::reconfigure(const GatewayOptions& options)
 {
     base::BootTime startedAt = m_options.retryBudget.processStartedAt;
@@ -338,7 +322,8 @@
         BootTime now = BootClock::now();
         attempts::RetryConditions conditions;
         conditions.mayEndReplicas = last.mayEndReplicas;
-        conditions.hasTime = !request.hasCallerLeft && requestTimeLeft(request, now) > m_options.waiting.minServiceTime;
+        conditions.hasTime
+            = !request.hasCallerLeft && !m_isEnding && requestTimeLeft(request, now) > m_options.waiting.minServiceTime;
         NextStep next = attempts::stepAfterAttempt(request.progress, last.outcome, conditions);
         if (next == NextStep::Retry
             && !retryBudgetTake(
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/ReplicaSelection.h"
 #include "gateway/RequestContext.h"
 #include "gateway/RetryBudget.h"
+#include "gateway/StopPolicy.h"
 #include "gateway/WaitPolicy.h"
 #include "hub/HubSync.h"
 #include "net/Http.h"
@@ -61,10 +62,12 @@
 
     // -- commands --
     bool listen(const base::Address&, std::string& error);
-    // From now on responses close their connections. A request that has waited for maxDrainWait is refused, so that it
-    // can be served elsewhere.
-    void beginDrain();
+    // From now on responses close their connections. A request that has waited for maxDrainWait, or whose response
+    // would probably not end before `endsAt`, is refused, so that it can be served elsewhere.
+    void beginDrain(base::BootTime endsAt = base::BootTime::max());
     void stopAccepting(); // also closes idle connections
+    // Ends all attempts: what was sent gets 502, what was not is refused, a stream that has begun is broken off.
+    void endRequests();
     void closeAll();
     void reconfigure(const GatewayOptions&); // applies to work that begins after the call
 
@@ -136,6 +139,7 @@
     double decayedFailureScore(ReplicaStats&, base::BootTime now) const;
     void wakeWaiting();
     void decayArrivalRates(base::BootTime now);
+    bool mayEndInTime(const RequestContext&, base::BootTime now) const;
 
     net::Loop& m_loop;
     GatewayOptions m_options;
@@ -151,7 +155,10 @@
     std::map<hub::DemandKey, double> m_arrivalRates;    // arrivals per second, as of m_arrivalRatesAt
     base::BootTime m_arrivalRatesAt {};
     std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
+    std::map<std::string, UsualTime> m_usualTimes; // by route, from sending a request to the end of its response
+    base::BootTime m_endsAt = base::BootTime::max();
     bool m_isDraining = false;
+    bool m_isEnding = false;
 };
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -181,6 +181,10 @@
             refusal = *partIsBlocked;
             break;
         }
+        if (m_isEnding || !mayEndInTime(request, now)) {
+            refusal = { "stopping", m_options.waiting.minRetryAfter };
+            break;
+        }
         if (request.pinnedVersion && !choice.hasVersion) {
             refusal = { "no_replica_of_version", std::nullopt };
             break;
@@ -321,8 +325,10 @@
     BootTime now = BootClock::now();
     ReplicaStats& stats = m_replicaStats[entry.id];
     ownLoadChange(stats.ownLoad, -1, now, m_options.ownLoad);
-    if (result.outcome == AttemptOutcome::Complete)
+    if (result.outcome == AttemptOutcome::Complete) {
         stats.lastSuccessAt = now;
+        usualTimeRecord(m_usualTimes[request.route->name], now - begunAt);
+    }
     double failureScore = decayedFailureScore(stats, now);
     stats.failureScore = result.isReplicaFault && !request.hasCallerLeft ? failureScore + 1
         : result.outcome == AttemptOutcome::Complete                     ? failureScore * 0.6
--- a/tests/StopTests.cpp
+++ b/tests/StopTests.cpp
@@ -150,3 +150,78 @@
         cr_expect_eq(gateway.requestsInFlight(), 0);
     });
 }
+
+// Guards against requests that were sent late in the grace period and cut at its end, although they may run only once.
+Test(stop, a_request_that_cannot_end_in_time_is_refused_and_does_not_run, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        tests::GatewayFixture fixture(loop);
+        for (lab::ReplicaStandIn* replica : fixture.plain)
+            replica->setProcessingTime(base::Millis(600));
+        for (int i = 0; i < 12; ++i)
+            cr_assert_eq(fixture.call(i % 2 ? "/once/" : "/safe/", fmt::format("before-{}", i)).status, 200);
+        base::BootTime begunAt = base::BootClock::now();
+        fixture.gateways[0]->gateway.beginDrain(begunAt + base::Millis(3000));
+        cr_expect_eq(fixture.call("/once/", "early").status, 200, "there is time for it");
+        net::sleepFor(base::Millis(2600) - (base::BootClock::now() - begunAt));
+        for (const char* path : { "/once/", "/safe/" }) {
+            CallerResponse late = fixture.call(path, std::string("late") + path);
+            cr_expect_eq(late.status, 503, "%s: %d", path, late.status);
+            cr_expect_lt(base::secondsOf(late.duration), 0.1, "refused at once");
+            cr_expect_eq(fixture.plainRunCount(std::string("late") + path), 0);
+        }
+    });
+}
+
+Test(stop, what_does_not_end_in_time_gets_an_answer_that_promises_nothing, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        tests::GatewayFixture fixture(loop);
+        gateway::Gateway& gateway = fixture.gateways[0]->gateway;
+        fixture.setFaultOnAll(ReplicaFault::Hang, -1);
+        std::map<std::string, CallerResponse> responses;
+        for (const char* path : { "/once/", "/safe/", "/stream/", "/single/" }) {
+            loop.spawn([&, path = std::string(path)] {
+                responses[path]
+                    = fixture.call(path, "id" + path, path.starts_with("/s") && path != "/safe/" ? "m1" : "");
+            });
+        }
+        net::sleepFor(base::Millis(400));
+        gateway.beginDrain(base::BootClock::now() + base::Millis(200));
+        net::sleepFor(base::Millis(200));
+        gateway.endRequests();
+        net::sleepFor(base::Millis(200));
+        cr_expect_eq(responses.size(), 4, "all have an answer 0.2 s later");
+        for (const auto& [path, response] : responses)
+            cr_expect_eq(response.status, 502, "%s: %d", path.c_str(), response.status);
+        cr_expect_eq(fixture.plainRunCount("id/once/"), 1);
+        cr_expect_eq(gateway.requestsInFlight(), 0);
+    });
+}
+
+Test(stop, the_usual_time_is_one_that_few_responses_exceed)
+{
+    gateway::UsualTime usual;
+    for (int i = 0; i < 4; ++i)
+        gateway::usualTimeRecord(usual, base::Millis(100));
+    cr_expect_not(gateway::usualTimeLimit(usual));
+    std::mt19937 random(1);
+    int longer = 0;
+    for (int i = 0; i < 1000; ++i) {
+        base::Millis time(100 + random() % 400);
+        auto limit = gateway::usualTimeLimit(usual);
+        longer += limit && time > *limit ? 1 : 0;
+        gateway::usualTimeRecord(usual, time);
+    }
+    cr_expect_leq(longer, 10);
+    cr_expect_lt(base::secondsOf(*gateway::usualTimeLimit(usual)), 1.2);
+    base::BootTime now = base::BootTime {} + base::Seconds(100);
+    gateway::StopInputs inputs { now, now + base::Seconds(1), now + base::Seconds(5), std::nullopt };
+    cr_expect_not(gateway::stopAllowsAttempt(inputs), "nothing is known of the route");
+    inputs.usualTime = base::Millis(900);
+    cr_expect(gateway::stopAllowsAttempt(inputs));
+    inputs.usualTime = base::Millis(1100);
+    cr_expect_not(gateway::stopAllowsAttempt(inputs));
+    inputs.deadline = now + base::Millis(1000);
+    cr_expect(gateway::stopAllowsAttempt(inputs), "it ends by its deadline");
+}
