--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -19,6 +19,7 @@
 #include "GatewayFleet.h"
 #include "ReplicaStandIn.h"
 #include "StoreStandIn.h"
+#include "UnreliableReplica.h"
 
 namespace rattanshunt::lab {
 
@@ -166,6 +167,14 @@
                 m_drainingSince.push_back(base::timeNever);
                 publishEntry(static_cast<size_t>(i), false);
             }
+            for (int i = 0; i < m_options.unreliableReplicas; ++i) {
+                UnreliableReplicaOptions options;
+                options.id = fmt::format("u-{}", i);
+                options.seed = m_options.seed * 100 + static_cast<uint64_t>(i);
+                m_unreliableReplicas.push_back(std::make_unique<UnreliableReplica>(m_loop, options));
+                m_unreliableReplicas.back()->listen(error);
+                m_store.put("servers/" + options.id, m_unreliableReplicas.back()->entry());
+            }
         }
 
         void publishEntry(size_t index, bool isDraining)
@@ -401,6 +410,8 @@
                 if (m_drainingSince[i] != base::timeNever)
                     publishEntry(i, false);
             }
+            for (auto& replica : m_unreliableReplicas)
+                replica->heal();
             for (auto& process : m_processes)
                 process->storeProxy->setMode(ProxyMode::Pass);
             addFault("all faults have ended");
@@ -481,6 +492,8 @@
             }
             for (auto& replica : m_replicas)
                 replica->stop();
+            for (auto& replica : m_unreliableReplicas)
+                replica->stop();
             for (auto& proxy : m_replicaProxies)
                 proxy->stop();
             for (auto& process : m_processes)
@@ -512,6 +525,13 @@
                         usage.emplace_back(execution.startedAt, execution.model.empty() ? 10 : 100);
                 }
             }
+            for (auto& replica : m_unreliableReplicas) {
+                for (const auto& [id, count] : replica->runs()) {
+                    executionCounts[id] += count;
+                    if (m_sentRequests.contains(id))
+                        usage.emplace_back(m_sentRequests[id].sentAt, 10.0 * count);
+                }
+            }
             for (auto& [id, sent] : m_sentRequests) {
                 bool isAtMostOnce = sent.route == "once" || sent.route == "single";
                 if (isAtMostOnce && executionCounts[id] > 1)
@@ -573,7 +593,8 @@
         std::mt19937_64 m_random;
         StoreStandIn m_store;
         std::vector<std::unique_ptr<ReplicaStandIn>> m_replicas;
-        std::vector<std::unique_ptr<FaultProxy>> m_replicaProxies; // in front of the replicas
+        std::vector<std::unique_ptr<UnreliableReplica>> m_unreliableReplicas;
+        std::vector<std::unique_ptr<FaultProxy>> m_replicaProxies; // in front of m_replicas
         std::vector<base::TimePoint> m_drainingSince;              // by replica; timeNever: not draining
         std::vector<std::unique_ptr<DaemonProcess>> m_processes;
         std::map<std::string, SentRequest> m_sentRequests;  // by request identifier
--- a/lab/Soak.h
+++ b/lab/Soak.h
@@ -32,6 +32,7 @@
     int daemons = 3;
     int plainReplicas = 2;
     int engineReplicas = 3;
+    int unreliableReplicas = 1; // see UnreliableReplica.h
     int callers = 8;
     std::string program;   // path of the rattanshunt binary
     std::string directory; // for settings and logs; the caller keeps it if there are violations
