--- a/src/hub/HubSyncParts.cpp
+++ b/src/hub/HubSyncParts.cpp
@@ -32,7 +32,7 @@
     {
         size_t bytes = sizeof(end);
         for (const std::string& part : end.parts)
-            bytes += sizeof(part) + part.size();
+            bytes += sizeof(std::string) + part.size();
         return bytes;
     }
 
