--- a/src/gateway/StopPolicy.cpp
+++ b/src/gateway/StopPolicy.cpp
@@ -5,7 +5,6 @@
 namespace rattanshunt::gateway {
 
 namespace {
-    // As for the retransmission timer of TCP (RFC 6298).
     constexpr double meanWeight = 1.0 / 8;
     constexpr double deviationWeight = 1.0 / 4;
     constexpr double deviations = 4;
--- a/src/hub/HubSyncStreams.cpp
+++ b/src/hub/HubSyncStreams.cpp
@@ -235,6 +235,8 @@
         coordination::KvRangeResult read = m_kv.range(originSegmentPrefix);
         if (read.error == coordination::KvError::None)
             applyStoredOrigins(read.entries, BootClock::now());
+        else
+            base::logEvent(LogLevel::Warning, "stream.origins_unread", {});
         m_streams.isReadingOrigins = false;
     });
 }
--- a/src/hub/OriginWriter.cpp
+++ b/src/hub/OriginWriter.cpp
@@ -103,6 +103,8 @@
     coordination::KvTxnResult result = m_kv.txn({}, writes);
     base::counterAddLabelled("stream_origin_writes_total", "end", result.isApplied ? "applied" : "failed");
     if (!result.isApplied) {
+        base::logEvent(base::LogLevel::Warning, "stream.origins_unwritten",
+            { { "segments", counts.size() }, { "refusals", m_refusals + 1 } });
         // Without an error the store does not know the lease, and with it all that was written is gone.
         if (result.error == coordination::KvError::None)
             forgetWritten();
