Wait for a read of the store that takes long on a busy daemon

Cause: a read that had been under way for 0.4 s counted as a store that is away, so that requests went on knowledge of any age. Ruled out: members, none of which sent on knowledge beyond the limit.

Change: only a read after one that failed counts as overdue. Otherwise requests wait for its end, which the limit of a call bounds, and are refused before their time is over. The records of streams' origins, which a hub read and decoded with each read while versions are mixed, are left out of these reads: their keys sort before all others, and they are read for take-ups of unknown streams.

--- a/src/directory/DirectoryAge.h
+++ b/src/directory/DirectoryAge.h
@@ -10,6 +10,7 @@
 // right before the request is sent to it, as connecting takes time.
 //
 // Knowledge that can't be renewed is used as it is: callers have nothing to gain from a refusal when the store is away.
+// That is not so for a hub that is too busy to read the store in time: its requests wait for the read.
 //
 // Pure functions; safe to call from any thread. Times are boot times, which advance while the machine is suspended.
 #pragma once
@@ -33,9 +34,9 @@
 // The latest read of the store, whoever began it.
 struct DirectoryRefresh {
     bool isUnderWay = false;
-    bool isAwaited = false;    // a request waits for its end
-    base::BootTime begunAt {}; // of the one under way
-    base::BootTime failedAt {};
+    bool isAwaited = false;     // a request waits for its end
+    base::BootTime begunAt {};  // of the one under way
+    base::BootTime failedAt {}; // the read before it has failed then; default: it succeeded
 };
 
 enum class DirectoryAgeStep {
@@ -70,7 +71,9 @@
     if (age < std::min(limits.refreshAhead, maxAge))
         return DirectoryAgeStep::Use;
     bool hasJustFailed = refresh.failedAt != base::BootTime {} && now - refresh.failedAt < limits.refreshRetryPause;
-    bool isOverdue = refresh.isUnderWay && now - refresh.begunAt >= limits.refreshWait;
+    // A read that takes long after one that succeeded shows a busy daemon, not a store that is away; it will end.
+    bool isOverdue
+        = refresh.isUnderWay && refresh.failedAt != base::BootTime {} && now - refresh.begunAt >= limits.refreshWait;
     if (hasJustFailed || isOverdue)
         return DirectoryAgeStep::Use;
     if (age < maxAge)
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -190,6 +190,10 @@
             break;
         }
         if (choice.replica && m_hubSync.directoryIsTooOld(m_hubSync.options().directoryAge.maxToSelect)) {
+            if (request.deadline - now <= m_options.waiting.minServiceTime) {
+                refusal = { directoryTooOldReason, m_options.waiting.minRetryAfter };
+                break;
+            }
             m_waitingRequests.insert(&request);
             request.wakeEvent.reset();
             request.wakeEvent.waitUntil(base::Clock::now() + m_hubSync.options().directoryAge.refreshWait);
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -206,13 +206,13 @@
         m_options.minSyncInterval, m_options.maxSyncInterval);
 }
 
-// Returns all entries of the store from a linearizable read. A large configuration that is known already is left out
-// and compared instead: a transaction without writes proves that it has not changed, or else returns it. All other keys
-// sort after the configuration's key.
+// Returns all entries of the store, but for the origins of streams, from a linearizable read. A large configuration
+// that is known already is left out and compared instead: a transaction without writes proves that it has not changed,
+// or else returns it. All other keys sort after the configuration's key.
 coordination::KvRangeResult HubSync::readStoreEntries()
 {
     if (m_configurationValue.size() < largeConfigurationBytes)
-        return m_kv.range("");
+        return m_kv.range("", coordination::kvPrefixEnd(originSegmentPrefix));
     auto compared = m_kv.txn({ { m_codec.configurationKey, m_configurationRevision } }, {});
     if (compared.error != coordination::KvError::None) {
         coordination::KvRangeResult failed;
@@ -314,7 +314,6 @@
     applyStoredParts(parts, era, requestedAt);
     pruneLimits(now);
     seeVersions(now);
-    applyStoredOrigins(all.entries, now);
     if (!secret.empty())
         ensurePeerNetwork(secret);
     if (!record && m_hubRecord)
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -24,7 +24,7 @@
 //   rs/parts     {parts: [{service, part, until_ms, blocks}]}, without a lease: the prompt parts that are blocked or on
 //                probation, with the Unix time of the block's end; a part that is deleted there is forgotten by all
 //   rs/streams   {versions: [[service, version, last seen]]}, without a lease: the services with several versions
-//   rs/streams/* {streams: [[service, version, streams]]}, under leases, see hub/OriginWriter.h
+//   live-streams/*  {streams: [[service, version, streams]]}, under leases, see hub/OriginWriter.h
 //   rs/secret    the shared secret with which daemons authenticate each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and works after the store's history was compacted. A
--- a/src/hub/OriginWriter.h
+++ b/src/hub/OriginWriter.h
@@ -17,7 +17,9 @@
 
 namespace rattanshunt::hub {
 
-inline constexpr const char* originSegmentPrefix = "rs/streams/"; // then the daemon's incarnation and a number
+// Then the daemon's incarnation and a number. Sorts before all other keys, so that the reads in each interval can leave
+// these records out: there may be hundreds, and they are needed for take-ups only.
+inline constexpr const char* originSegmentPrefix = "live-streams/";
 inline constexpr base::Seconds originLeaseTime { 120 };
 inline constexpr base::Seconds originLeaseRenewal { 30 }; // between two renewals
 
--- a/tests/OriginSegmentTests.cpp
+++ b/tests/OriginSegmentTests.cpp
@@ -1,6 +1,7 @@
 // The records of streams' origins that a daemon writes to the store, and the pace of the writes.
 #include "PartLedgerSupport.h"
-#include "base/Json.h"
+#include "hub/OriginWriter.h"
+#include "platform/PlatformCodec.h"
 #include "streams/OriginSegments.h"
 
 using namespace rattanshunt;
@@ -65,3 +66,12 @@
     cr_expect(originWriteInterval(1, 1) == 2 * minOriginWriteInterval);
     cr_expect(originWriteInterval(1, 1000) == maxOriginWriteInterval);
 }
+
+// A read of the store begins after these records.
+Test(origin_segments, their_keys_sort_before_all_others)
+{
+    std::string end = coordination::kvPrefixEnd(hub::originSegmentPrefix);
+    gateway::WireCodec codec = platform::wireCodecCreate();
+    for (const std::string& key : { codec.configurationKey, codec.entryPrefix, std::string("rs/") })
+        cr_expect_lt(end, key, "%s", key.c_str());
+}
