Stop sending to the replicas of a data centre that is being evacuated

Change: the keys come with each full read of the store and with each sync reply; a newer read replaces what is known, and one shortly after a restore of the store ends nothing. Evacuated replicas are left out at selection, before each send and by the planner of models, which loads their models elsewhere.

--- a/src/gateway/GatewayLimits.cpp
+++ b/src/gateway/GatewayLimits.cpp
@@ -76,6 +76,8 @@
     if (found == m_hubSync.directory().replicas.end() || !directory::replicaIsUsable(found->second)
         || directory::noticeIsLeaving(notices, entry.id, entry.startedAtMillis))
         return replicaLeftReason;
+    if (evacuation::isEvacuated(m_hubSync.evacuations(), entry.dataCenter))
+        return replicaEvacuatedReason;
     if (directory::noticeQuietUntil(notices, entry.id, entry.startedAtMillis, BootClock::now()))
         return replicaQuietReason;
     if (m_hubSync.directoryIsTooOld(m_hubSync.options().directoryAge.maxToSend))
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -82,7 +82,8 @@
     bool isEngine = request.service->engine && !request.head.model.empty();
     for (const auto& [id, replica] : m_hubSync.directory().replicas) {
         if (replica.entry.service != request.service->name || !directory::replicaIsUsable(replica)
-            || directory::noticeIsLeaving(m_hubSync.notices(), id, replica.entry.startedAtMillis))
+            || directory::noticeIsLeaving(m_hubSync.notices(), id, replica.entry.startedAtMillis)
+            || evacuation::isEvacuated(m_hubSync.evacuations(), replica.entry.dataCenter))
             continue;
         bool hasModel = !isEngine || directory::replicaHasModel(replica, request.head.model, request.head.adapter, now);
         if (request.pinnedVersion && replica.entry.version != *request.pinnedVersion) {
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -217,7 +217,8 @@
 {
     std::string_view reason = result.reason;
     return !result.wasSent
-        && (reason == replicaLeftReason || reason == directoryTooOldReason || reason == replicaQuietReason);
+        && (reason == replicaLeftReason || reason == directoryTooOldReason || reason == replicaQuietReason
+            || reason == replicaEvacuatedReason);
 }
 
 base::Millis requestTimeLeft(const RequestContext& request, base::BootTime now)
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -99,6 +99,7 @@
 constexpr const char* replicaLeftReason = "replica_left";
 constexpr const char* directoryTooOldReason = "directory_too_old";
 constexpr const char* replicaQuietReason = "replica_quiet";
+constexpr const char* replicaEvacuatedReason = "replica_evacuated";
 
 // Timeout for opening a connection to a replica.
 constexpr base::Millis connectTimeout { 700 };
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -169,6 +169,7 @@
         readEntry;
     std::string configurationKey;
     std::string entryPrefix;
+    std::string evacuationPrefix; // of the keys that name a data centre to be evacuated
 
     std::function<net::HttpRequest()> writeReportRequest;
     std::function<std::optional<ReplicaReport>(const net::HttpResponse&)> readReport;
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -285,12 +285,15 @@
     std::vector<directory::RawEntry> entries;
     std::optional<HubRecord> record;
     const coordination::KvEntry* parts = nullptr;
+    std::set<std::string> evacuated;
     std::string secret;
     for (const coordination::KvEntry& entry : all.entries) {
         if (entry.key == m_codec.configurationKey)
             applyConfiguration(entry.value, entry.modRevision);
         else if (entry.key.starts_with(m_codec.entryPrefix))
             entries.push_back({ entry.key, entry.value, entry.modRevision });
+        else if (entry.key.starts_with(m_codec.evacuationPrefix))
+            evacuated.insert(entry.key.substr(m_codec.evacuationPrefix.size()));
         else if (entry.key == fleetKey) {
             m_storedMemberCount = readMemberCount(entry.value);
             if (!m_memberCount)
@@ -308,6 +311,7 @@
     BootTime now = BootClock::now();
     bool mayBeLapsed = m_storeRecoveredAt != BootTime {} && now - m_storeRecoveredAt < directory::lapseGracePeriod;
     logEntryFaults(directory::directoryApplyList(m_directory, m_codec, entries, mayBeLapsed, all.revision));
+    applyEvacuations(evacuated, requestedAt);
     confirmDirectory(requestedAt, DirectorySource::Store);
     recordEntryWrites(requestedAt);
     m_lastReadAt = requestedAt;
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -173,6 +173,7 @@
     addPartsToReply(asked, reply, now);
     addLimitsToReply(asked, reply);
     reply["age_us"] = ageMicros(now, m_freshAsOf);
+    reply["evacuated"] = m_evacuations.dataCenters;
     gateway::ConfigurationStamp askedStamp { asked.value("configuration_version", int64_t(0)),
         asked.value("configuration", int64_t(0)) };
     if (gateway::configurationIsNewer(configurationStamp(), askedStamp)) {
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -194,6 +194,7 @@
         if (auto address = base::parseAddress(body.at("hub_address").get<std::string>()))
             m_hubRecord = HubRecord { "", *address, "", 0, 0, 0 };
     }
+    applyEvacuationsReply(body, replyFreshAsOf);
     confirmDirectory(replyFreshAsOf, isHub ? DirectorySource::Hub : DirectorySource::Member);
     if (m_directory.changeSequence != before)
         notifySubscribers();
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -279,6 +279,7 @@
         auto state = m_replicaStates.find(id);
         if (replica.entry.service != service.name || !directory::replicaIsUsable(replica)
             || directory::noticeIsLeaving(m_hubSync.notices(), id, replica.entry.startedAtMillis)
+            || evacuation::isEvacuated(m_hubSync.evacuations(), replica.entry.dataCenter)
             || state == m_replicaStates.end() || !state->second->ledger.isCurrent || replica.isUnreachableFromHub)
             continue;
         const ReplicaState& known = *state->second;
