Keep cold replicas to their rate, and decide availability in one function

Cause: a replica that has just started, or that returns from an evacuation, got the traffic of a warm one from each daemon, and its entry's coldLeftMs was only validated. What excludes a replica was tested in three places by hand.

Change: limits/ColdReplicas.h keeps what entries and Cold-Ms say; the hub passes its list on with sync replies, and grants permits at coldPerS as for replicas that limit their rate. Without a hub each daemon sends its share. Permits of cold replicas are reserved 0.5 s ahead at most and not returned, a new hub waits 0.8 s, and permits begin 0.7 s after a listed replica turned cold, as members that do not know it yet go on sending. directory/ReplicaAvailability.h decides at selection, before each send and in the planner. Services without coldPerS are served as before.

--- a/lab/ReplicaStandIn.cpp
+++ b/lab/ReplicaStandIn.cpp
@@ -43,8 +43,9 @@
         { "service", m_impl->options.service },
         { "address", base::formatAddress(advertisedAddress.value_or(address())) },
         { "zone", m_impl->options.dataCenter }, { "version", m_impl->options.version },
-        { "slots", m_impl->options.batchSlots }, { "state", isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 },
-        { "models", m_impl->modelsJson() }, { "sequence", ++m_impl->entrySequence }, { "born", m_impl->startedAtMillis }
+        { "slots", m_impl->options.batchSlots }, { "state", isDraining ? "draining" : "ready" },
+        { "coldLeftMs", m_impl->coldLeftMillis() }, { "models", m_impl->modelsJson() },
+        { "sequence", ++m_impl->entrySequence }, { "born", m_impl->startedAtMillis }
     }.dump();
 }
 
--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -57,11 +57,13 @@
     int eventsBeforeCrash = 0;
     // A request of a plain replica with one of these bodies crashes it when it is processed.
     std::set<std::string> crashingBodies {};
-    std::vector<std::string> namedLimits {}; // values of the Server-Limit headers of its responses
-    int namesLimitEveryNth = 1;              // responses between two that carry them
-    bool namesLimitInReports = false;        // also in the answers to reports
-    int saysLeavingEveryNth = 0;             // of its responses to requests; 0: none
-    std::vector<std::string> quietTimes {};  // values of the Retry-After headers of refusals (ReplicaFault::Refuse)
+    std::vector<std::string> namedLimits {};     // values of the Server-Limit headers of its responses
+    int namesLimitEveryNth = 1;                  // responses between two that carry them
+    bool namesLimitInReports = false;            // also in the answers to reports
+    std::optional<base::TimePoint> coldUntil {}; // its entries and, if set, its responses tell the time left
+    bool saysColdInResponses = false;
+    int saysLeavingEveryNth = 0;            // of its responses to requests; 0: none
+    std::vector<std::string> quietTimes {}; // values of the Retry-After headers of refusals (ReplicaFault::Refuse)
 };
 
 struct RequestExecution {
--- a/lab/ReplicaStandInImpl.h
+++ b/lab/ReplicaStandInImpl.h
@@ -137,6 +137,12 @@
         return nullptr;
     }
 
+    int64_t coldLeftMillis() const
+    {
+        auto left = faults.coldUntil.value_or(base::TimePoint {}) - base::Clock::now();
+        return faults.coldUntil ? std::max<int64_t>(0, base::millisOf(left)) : 0;
+    }
+
     // What the next response says of the replica itself. Records it.
     std::vector<net::HttpHeader> statementHeaders(const std::string& requestId, bool isRefusal)
     {
@@ -147,6 +153,8 @@
             if (arrival)
                 arrival->leavingSaidAt = base::Clock::now();
         }
+        if (faults.saysColdInResponses)
+            headers.push_back({ "Cold-Ms", std::to_string(coldLeftMillis()) });
         for (const std::string& time : faults.quietTimes) {
             if (!isRefusal)
                 continue;
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -150,6 +150,7 @@
             gauge("is_hub", m_hubSync.isHub() ? 1 : 0);
             gauge("members", static_cast<double>(m_hubSync.memberCount()));
             gauge("replicas_limited", static_cast<double>(m_hubSync.limitedReplicaCount()));
+            gauge("replicas_cold", static_cast<double>(m_hubSync.coldReplicaCount()));
             gauge("prompt_parts_blocked", static_cast<double>(m_hubSync.blockedPartCount()));
             gauge("store_reachable", m_hubSync.storeIsReachable() ? 1 : 0);
             return text;
--- a/src/directory/Directory.cpp
+++ b/src/directory/Directory.cpp
@@ -93,6 +93,7 @@
             && !found->second.isLapsed) {
             found->second.revision = raw.revision;
             found->second.entry.writeCount = entry->writeCount;
+            found->second.entry.coldTimeLeft = entry->coldTimeLeft;
             return;
         }
         Replica& replica = directory.replicas[id];
--- a/src/directory/ReplicaNotices.h
+++ b/src/directory/ReplicaNotices.h
@@ -33,6 +33,7 @@
     bool isLeaving = false;
     std::optional<base::Millis> quietFor; // nothing is wanted for so long
     bool isQuietUnreadable = false;       // a time is named that is no finite number of at least 0
+    std::optional<base::Millis> coldFor;  // the replica is cold for so long; 0: it is warm
 };
 
 struct ReplicaNotice {
--- a/src/gateway/Configuration.h
+++ b/src/gateway/Configuration.h
@@ -70,7 +70,9 @@
 
 struct Service {
     std::string name;
-    size_t maxConnections = 100; // per replica, of all callers together
+    size_t maxConnections = 100;         // per replica, of all callers together
+    std::optional<double> coldPerSecond; // requests that a cold replica accepts; empty: replicas do not turn cold
+    base::Millis coldTime { 3000 };      // for which a replica is cold after its start
     std::optional<Engine> engine;
 };
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -38,6 +38,7 @@
     double longPromptTokens = 2500;                     // prompts of this length delay other requests during prefill
     base::Millis maxDrainWait { 1000 };                 // for a replica, while the process is draining
     base::Millis minPermitPause { 50 };                 // between two requests for a permit to one replica
+    base::Millis coldPermitPause { 1 };                 // the same to cold replicas of a service, times the daemons
     base::Seconds rateTimeConstant { 10 };              // for smoothing arrival rates
     base::Millis loggedDirectoryAge { 1000 };           // sends on older knowledge of the replicas are logged
     WaitOptions waiting;
@@ -101,6 +102,7 @@
     struct ReplicaChoice {
         const directory::Replica* replica = nullptr; // null: none can take the request now
         bool needsPermit = false;
+        bool isCold = false;
         bool hasVersion = false; // a replica of the version that began the stream serves, and can get the model
         bool hasUsable = false;  // a replica has the model, but may be full, limited or tried already
         std::optional<base::BootTime> permitAt; // if all others are limited: when one is expected to have a permit
@@ -132,7 +134,8 @@
     void recordLoad(ReplicaStats&, double running, double waiting, base::BootTime reportedAt);
     void recordLimit(const RequestContext&, const ReplicaEntry&, const NamedLimit&, base::BootTime requestedAt);
     bool hasPermitFor(const RequestContext&, const ReplicaEntry&, base::BootTime now) const;
-    void acquirePermit(RequestContext&, const directory::Replica&);
+    directory::ReplicaLife lifeOf(const RequestContext&, const directory::Replica&, base::BootTime now) const;
+    void acquirePermit(RequestContext&, const directory::Replica&, bool isCold);
     void releasePermit(RequestContext&);
     const char* findSendObstacle(RequestContext&, const ReplicaEntry&);
     void recordSend(const RequestContext&, const ReplicaEntry&, base::BootTime attemptBegunAt);
@@ -150,9 +153,10 @@
     std::optional<net::HttpServerHandle> m_server;
     std::set<RequestContext*> m_requests;
     std::set<RequestContext*> m_waitingRequests;
-    std::map<std::string, ReplicaStats> m_replicaStats; // by replica id
-    std::map<std::string, RetryBudget> m_retryBudgets;  // by service name
-    std::map<hub::DemandKey, double> m_arrivalRates;    // arrivals per second, as of m_arrivalRatesAt
+    std::map<std::string, ReplicaStats> m_replicaStats;         // by replica id
+    std::map<std::string, RetryBudget> m_retryBudgets;          // by service name
+    std::map<std::string, base::BootTime> m_noColdPermitBefore; // by service name; one was denied
+    std::map<hub::DemandKey, double> m_arrivalRates;            // arrivals per second, as of m_arrivalRatesAt
     base::BootTime m_arrivalRatesAt {};
     std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
     std::map<std::string, UsualTime> m_usualTimes; // by route, from sending a request to the end of its response
--- a/src/gateway/GatewayLimits.cpp
+++ b/src/gateway/GatewayLimits.cpp
@@ -29,9 +29,17 @@
         && request.permit->startedAtMillis == entry.startedAtMillis && now < request.permit->expiresAt;
 }
 
+directory::ReplicaLife Gateway::lifeOf(
+    const RequestContext& request, const directory::Replica& replica, BootTime now) const
+{
+    directory::ReplicaLife life = m_hubSync.replicaLife(replica, request.homes);
+    life.hasPermit = hasPermitFor(request, replica.entry, now);
+    return life;
+}
+
 // Asks for a permit and waits for its start. Without one, the replica is left out of the next selections. Suspends, so
 // that the caller has to select again.
-void Gateway::acquirePermit(RequestContext& request, const directory::Replica& replica)
+void Gateway::acquirePermit(RequestContext& request, const directory::Replica& replica, bool isCold)
 {
     releasePermit(request);
     std::string id = replica.entry.id;
@@ -46,6 +54,12 @@
         BootTime now = BootClock::now();
         m_replicaStats[id].noPermitBefore = now + pause;
         m_replicaStats[id].permitExpectedAt = now + answer.startsIn;
+        // Other cold replicas of the service are likely to be as sought after. Without a pause that grows with the
+        // fleet, each waiting request would ask the hub for each of them.
+        if (isCold)
+            m_noColdPermitBefore[request.service->name] = now
+                + std::max(m_options.minPermitPause,
+                    m_options.coldPermitPause * static_cast<int64_t>(m_hubSync.memberCount()));
         base::counterAdd("replica_permits_denied_total");
         return;
     }
@@ -71,23 +85,29 @@
 // Why an attempt must not be sent now; null if it may. Connecting to the replica may have taken long.
 const char* Gateway::findSendObstacle(RequestContext& request, const ReplicaEntry& entry)
 {
+    BootTime now = BootClock::now();
     auto found = m_hubSync.directory().replicas.find(entry.id);
-    const directory::ReplicaNotices& notices = m_hubSync.notices();
-    if (found == m_hubSync.directory().replicas.end() || !directory::replicaIsUsable(found->second)
-        || directory::noticeIsLeaving(notices, entry.id, entry.startedAtMillis))
+    if (found == m_hubSync.directory().replicas.end())
         return replicaLeftReason;
-    if (evacuation::isEvacuated(m_hubSync.evacuations(), entry.dataCenter))
-        return replicaEvacuatedReason;
-    if (directory::noticeQuietUntil(notices, entry.id, entry.startedAtMillis, BootClock::now()))
-        return replicaQuietReason;
+    const directory::Replica& replica = found->second;
+    directory::ReplicaLife life = lifeOf(request, replica, now);
+    // What is known of the process that was selected counts, also after another one has taken its place.
+    life.isLeaving = life.isLeaving || directory::noticeIsLeaving(m_hubSync.notices(), entry.id, entry.startedAtMillis);
+    life.isEvacuated = life.isEvacuated || evacuation::isEvacuated(m_hubSync.evacuations(), entry.dataCenter);
+    directory::ReplicaObstacle obstacle = directory::replicaObstacle(life, now);
+    if (obstacle == directory::ReplicaObstacle::Evacuated)
+        base::logEvent(LogLevel::Info, "replica.evacuated",
+            { { "id", request.head.id }, { "replica", entry.id }, { "data_center", entry.dataCenter } });
+    if (const char* name = directory::obstacleName(obstacle))
+        base::counterAddLabelled("sends_prevented_total", "why", name);
+    bool needsPermit = obstacle == directory::ReplicaObstacle::Limited || obstacle == directory::ReplicaObstacle::Cold;
+    if (obstacle != directory::ReplicaObstacle::None && !needsPermit)
+        return directory::obstacleName(obstacle);
     if (m_hubSync.directoryIsTooOld(m_hubSync.options().directoryAge.maxToSend))
         return directoryTooOldReason;
     if (auto blocked = partRefusal(request))
         return blocked->reason;
-    BootTime now = BootClock::now();
-    if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis) && !hasPermitFor(request, entry, now))
-        return replicaLimitedReason;
-    return nullptr;
+    return directory::obstacleName(obstacle);
 }
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -11,6 +11,7 @@
 using base::BootClock;
 using base::BootTime;
 using base::LogLevel;
+using directory::ReplicaObstacle;
 
 namespace {
 
@@ -80,10 +81,14 @@
     std::vector<const directory::Replica*> replicas;
     BootTime now = BootClock::now();
     bool isEngine = request.service->engine && !request.head.model.empty();
+    BootTime noColdPermitBefore = m_noColdPermitBefore[request.service->name];
     for (const auto& [id, replica] : m_hubSync.directory().replicas) {
-        if (replica.entry.service != request.service->name || !directory::replicaIsUsable(replica)
-            || directory::noticeIsLeaving(m_hubSync.notices(), id, replica.entry.startedAtMillis)
-            || evacuation::isEvacuated(m_hubSync.evacuations(), replica.entry.dataCenter))
+        if (replica.entry.service != request.service->name)
+            continue;
+        directory::ReplicaLife life = lifeOf(request, replica, now);
+        ReplicaObstacle obstacle = directory::replicaObstacle(life, now);
+        if (obstacle == ReplicaObstacle::Leaving || obstacle == ReplicaObstacle::Evacuated
+            || obstacle == ReplicaObstacle::OutsideHomes)
             continue;
         bool hasModel = !isEngine || directory::replicaHasModel(replica, request.head.model, request.head.adapter, now);
         if (request.pinnedVersion && replica.entry.version != *request.pinnedVersion) {
@@ -98,14 +103,15 @@
         choice.hasUsable = true;
         if (tried.contains(id))
             continue;
-        if (auto until = directory::noticeQuietUntil(m_hubSync.notices(), id, replica.entry.startedAtMillis, now)) {
-            choice.permitAt = std::min(choice.permitAt.value_or(*until), *until);
+        if (obstacle == ReplicaObstacle::Quiet) {
+            choice.permitAt = std::min(choice.permitAt.value_or(*life.quietUntil), *life.quietUntil);
             continue;
         }
         ReplicaStats& stats = statsOf(replica);
-        bool isLimited = m_hubSync.replicaLimit(id, replica.entry.startedAtMillis).has_value();
+        bool isCold = directory::replicaIsCold(life, now);
+        bool isLimited = directory::replicaPermitRate(life, now).has_value();
         hasUnlimited = hasUnlimited || !isLimited;
-        if (isLimited && hasPermitFor(request, replica.entry, now)) {
+        if (isLimited && life.hasPermit) {
             choice.replica = &replica;
             choice.hasVersion = true;
             return choice;
@@ -114,8 +120,13 @@
             choice.permitAt = std::min(choice.permitAt.value_or(stats.permitExpectedAt), stats.permitExpectedAt);
             continue;
         }
+        if (isCold && now < noColdPermitBefore) {
+            choice.permitAt = std::min(choice.permitAt.value_or(noColdPermitBefore), noColdPermitBefore);
+            continue;
+        }
         ReplicaCandidate candidate;
         candidate.isLimited = isLimited;
+        candidate.isCold = isCold;
         candidate.id = id;
         candidate.slots = replica.entry.slots;
         candidate.reportedInFlight = stats.reportedInFlight;
@@ -138,6 +149,7 @@
     if (chosen) {
         choice.replica = replicas[*chosen];
         choice.needsPermit = candidates[*chosen].isLimited;
+        choice.isCold = candidates[*chosen].isCold;
     }
     if (hasUnlimited)
         choice.permitAt.reset();
@@ -201,7 +213,7 @@
             continue;
         }
         if (choice.replica && choice.needsPermit) {
-            acquirePermit(request, *choice.replica);
+            acquirePermit(request, *choice.replica, choice.isCold);
             continue;
         }
         if (choice.replica) {
@@ -324,6 +336,11 @@
     request.onFirstEvent = nullptr;
     if (result.wasSent)
         request.permit.reset();
+    bool hasRefused = std::string_view(result.reason) == connectFailedReason && !request.hasCallerLeft;
+    bool hasEnded = result.hasConnectionEnded && result.outcome != AttemptOutcome::Complete;
+    // A connection that was used before may have been closed for being idle.
+    if (hasRefused || (hasEnded && !result.wasConnectionReused))
+        m_hubSync.presumeRestarted(entry.id, entry.startedAtMillis);
     releasePermit(request);
     if (request.onFirstByte)
         std::exchange(request.onFirstByte, nullptr)();
--- a/src/gateway/ReplicaSelection.h
+++ b/src/gateway/ReplicaSelection.h
@@ -41,7 +41,8 @@
     double reportedWaiting = 0;      // requests that wait for prefill or are in it, at the last report
     double failureScore = 0;         // recent failures, with exponential decay
     bool isInOtherDataCenter = false;
-    bool isLimited = false;         // names a limit on its request rate
+    bool isLimited = false;         // names a limit on its request rate, or is cold
+    bool isCold = false;            // has started recently, or is presumed to have
     bool hasIdleConnection = false; // the connection pool holds an idle connection to it
 };
 
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -218,7 +218,7 @@
     std::string_view reason = result.reason;
     return !result.wasSent
         && (reason == replicaLeftReason || reason == directoryTooOldReason || reason == replicaQuietReason
-            || reason == replicaEvacuatedReason);
+            || reason == replicaEvacuatedReason || reason == replicaColdReason);
 }
 
 base::Millis requestTimeLeft(const RequestContext& request, base::BootTime now)
@@ -238,7 +238,7 @@
     if (!use.wasReused
         && connection->connect(base::Clock::now() + std::min(connectTimeout, timeLeft)) != HttpCallError::None) {
         request.connection = nullptr;
-        return makeResult(AttemptOutcome::NotExecuted, "connect_failed", !request.hasCallerLeft);
+        return makeResult(AttemptOutcome::NotExecuted, connectFailedReason, !request.hasCallerLeft);
     }
     // Connecting may have taken long, or the machine may have been suspended meanwhile.
     timeLeft = requestTimeLeft(request, BootClock::now());
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -7,6 +7,7 @@
 // Call from the owning thread only; attemptRun() suspends the calling fiber.
 #pragma once
 
+#include <set>
 #include <string>
 
 #include "attempts/RetryPolicy.h"
@@ -37,12 +38,13 @@
     net::HttpExchange& exchange;
     RequestHead head;
     ConfigurationPointer configuration {};
-    const Route* route = nullptr;     // of `configuration`
-    const Service* service = nullptr; // of `configuration`
-    std::string accountName {};       // empty on public routes
-    int priority = 5;                 // for the replica: 0 (most urgent) to 9
-    double tokenCost = 1;             // tokens charged to the account's quota
-    double demandWeight = 1;          // weight of this request in the reported demand while it waits
+    const Route* route = nullptr;                  // of `configuration`
+    const Service* service = nullptr;              // of `configuration`
+    std::string accountName {};                    // empty on public routes
+    std::optional<std::set<std::string>> homes {}; // geos whose replicas may serve it; empty: all
+    int priority = 5;                              // for the replica: 0 (most urgent) to 9
+    double tokenCost = 1;                          // tokens charged to the account's quota
+    double demandWeight = 1;                       // weight of this request in the reported demand while it waits
     base::BootTime arrivedAt {};
     base::BootTime deadline {};          // the caller's or the route's, whichever is earlier
     base::BootTime firstByteDeadline {}; // if the first byte has not arrived by then, the caller disconnects
@@ -100,6 +102,10 @@
 constexpr const char* directoryTooOldReason = "directory_too_old";
 constexpr const char* replicaQuietReason = "replica_quiet";
 constexpr const char* replicaEvacuatedReason = "replica_evacuated";
+constexpr const char* replicaColdReason = "replica_cold";
+
+// Reason of attempts that could not open a connection.
+constexpr const char* connectFailedReason = "connect_failed";
 
 // Timeout for opening a connection to a replica.
 constexpr base::Millis connectTimeout { 700 };
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -96,6 +96,7 @@
     double slots = 1;
     bool isDraining = false;
     std::optional<base::Millis> timeUntilRemoval; // until the platform removes the replica
+    std::optional<base::Millis> coldTimeLeft;     // when it was written; 0: the replica is warm
     int64_t startedAtMillis = 0; // start time of the replica; a different value under the same id means a restart
     std::vector<LoadedModel> models;
     int64_t writeCount = 0; // rises with each entry that this process of the replica writes; 0: not stated
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -309,13 +309,16 @@
     }
     uint64_t before = m_directory.changeSequence;
     BootTime now = BootClock::now();
+    auto listedBefore = listedProcesses();
     bool mayBeLapsed = m_storeRecoveredAt != BootTime {} && now - m_storeRecoveredAt < directory::lapseGracePeriod;
     logEntryFaults(directory::directoryApplyList(m_directory, m_codec, entries, mayBeLapsed, all.revision));
+    applyColdEntries(listedBefore, requestedAt);
     applyEvacuations(evacuated, requestedAt);
     confirmDirectory(requestedAt, DirectorySource::Store);
     recordEntryWrites(requestedAt);
     m_lastReadAt = requestedAt;
     applyStoredParts(parts, era, requestedAt);
+    pruneCold(now);
     pruneLimits(now);
     seeVersions(now);
     if (!secret.empty())
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -49,8 +49,10 @@
 
 #include "coordination/Kv.h"
 #include "directory/Directory.h"
+#include "directory/ReplicaAvailability.h"
 #include "evacuation/Evacuations.h"
 #include "gateway/WireCodec.h"
+#include "hub/ColdSync.h"
 #include "hub/HubSyncData.h"
 #include "hub/HubTerm.h"
 #include "hub/LimitSync.h"
@@ -120,8 +122,12 @@
     // Records what a response says of its replica. Does not suspend.
     void recordStatement(const std::string& replica, int64_t startedAtMillis, const directory::ReplicaStatement&);
 
-    // Asks for a permit to send one request to a replica with a limit; it starts within `maxWait`. Granted at once if
-    // the replica has none. Suspends for a call to the hub.
+    // The replica ended under a request or refused a connection, so it may be another process that is cold. Does not
+    // suspend.
+    void presumeRestarted(const std::string& replica, int64_t startedAtMillis);
+
+    // Asks for a permit to send one request to a replica with a limit, or to a cold one; it starts within `maxWait`.
+    // Granted at once if the replica has none. Suspends for a call to the hub.
     limits::PermitAnswer takePermit(const std::string& replica, int64_t startedAtMillis, base::Duration maxWait);
 
     // Returns a permit that came from the hub and was not used. Does not suspend.
@@ -170,6 +176,13 @@
 
     // Requests per second that this process of a replica accepts from all daemons; empty: it named no limit.
     std::optional<double> replicaLimit(const std::string& replica, int64_t startedAtMillis) const;
+    // The same, also of a replica that is cold.
+    std::optional<double> replicaPermitRate(const std::string& replica, int64_t startedAtMillis) const;
+
+    // What is known of one process of a replica. `homes`: of the request; empty: it has none.
+    directory::ReplicaLife replicaLife(
+        const directory::Replica&, const std::optional<std::set<std::string>>& homes) const;
+    size_t coldReplicaCount() const;
     const evacuation::Evacuations& evacuations() const { return m_evacuations; }
     const directory::ReplicaNotices& notices() const { return m_notices; } // what replicas told this daemon
     size_t limitedReplicaCount() const { return m_limits.ledger.limits.size(); }
@@ -247,6 +260,22 @@
         const std::string& replica, int64_t startedAtMillis, base::Duration maxWait, base::BootTime now);
     nlohmann::json handlePermitCall(const std::string& from, const nlohmann::json& body);
 
+    // -- cold replicas --
+    struct ListedProcess {
+        int64_t startedAtMillis = 0;
+        int64_t revision = 0;
+    };
+    std::map<std::string, ListedProcess> listedProcesses() const;
+    const gateway::Service* coldServiceOf(const std::string& replica) const;
+    std::optional<base::BootTime> coldUntil(const std::string& replica, int64_t startedAtMillis) const;
+    void applyColdEntries(const std::map<std::string, ListedProcess>& before, base::BootTime readAt);
+    void presumeCold(const std::string& dataCenter);
+    void logCold(const std::string& replica, const char* source) const;
+    void pruneCold(base::BootTime now);
+    void addColdToReply(const nlohmann::json& asked, nlohmann::json& reply, base::BootTime now) const;
+    void applyColdReply(const nlohmann::json& body, base::BootTime requestedAt, base::BootTime asOf, bool isHub);
+    void applyMemberCold(const nlohmann::json& body, base::BootTime now);
+
     void applyEvacuations(const std::set<std::string>& listed, base::BootTime asOf);
     void applyEvacuationsReply(const nlohmann::json& body, base::BootTime asOf);
 
@@ -332,6 +361,7 @@
     quota::LocalQuota m_localQuota;
     PartSync m_parts;
     LimitSync m_limits;
+    ColdSync m_cold;
     StreamSync m_streams;
     OriginWriter m_originWriter;
 };
--- a/src/hub/HubSyncData.h
+++ b/src/hub/HubSyncData.h
@@ -10,6 +10,7 @@
 
 #include "base/Time.h"
 #include "directory/DirectoryAge.h"
+#include "limits/ColdReplicas.h"
 
 namespace rattanshunt::hub {
 
@@ -34,6 +35,8 @@
     directory::DirectoryAgeLimits directoryAge; // of the knowledge that requests are sent on
     double quotaSlack = 0;                      // tokens that the fleet may grant beyond an account's burst
     base::Seconds quotaWindow { 8 };            // in which an account's limit is measured
+    limits::ColdBound coldBound;                // on the requests that a cold replica gets in a second
+    std::map<std::string, std::string> geos;    // by data centre
 };
 
 // Requests for one DemandKey, as seen by one daemon.
--- a/src/hub/HubSyncEvacuation.cpp
+++ b/src/hub/HubSyncEvacuation.cpp
@@ -18,6 +18,8 @@
         && BootClock::now() - m_storeRecoveredAt < directory::lapseGracePeriod;
     auto changes = evacuation::evacuationsApply(m_evacuations, listed, asOf, mayBeIncomplete);
     for (const evacuation::EvacuationChange& change : changes) {
+        if (!change.isBegun)
+            presumeCold(change.dataCenter);
         base::counterAdd(change.isBegun ? "evacuations_begun_total" : "evacuations_ended_total");
         base::logEvent(LogLevel::Info, change.isBegun ? "evacuation.begun" : "evacuation.ended",
             { { "data_center", change.dataCenter }, { "knowledge_age_ms", ageMillis(BootClock::now(), asOf) } });
--- a/src/hub/HubSyncFreshness.cpp
+++ b/src/hub/HubSyncFreshness.cpp
@@ -52,6 +52,14 @@
         base::counterAdd("replica_quiet_unreadable_total");
         base::logEvent(LogLevel::Warning, "replica.quiet_unreadable", { { "replica", replica } });
     }
+    if (statement.coldFor && coldServiceOf(replica)) {
+        uint64_t before = m_cold.ledger.version;
+        bool isBegun = limits::coldRecord(m_cold.ledger, replica, startedAtMillis, *statement.coldFor, now, now);
+        if (isBegun)
+            logCold(replica, "response");
+        if (m_cold.ledger.version != before)
+            notifySubscribers();
+    }
     bool wasLeaving = directory::noticeIsLeaving(m_notices, replica, startedAtMillis);
     if (!directory::noticeRecord(m_notices, replica, startedAtMillis, statement, now))
         return;
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -172,6 +172,7 @@
         return reply;
     addPartsToReply(asked, reply, now);
     addLimitsToReply(asked, reply);
+    addColdToReply(asked, reply, now);
     reply["age_us"] = ageMicros(now, m_freshAsOf);
     reply["evacuated"] = m_evacuations.dataCenters;
     gateway::ConfigurationStamp askedStamp { asked.value("configuration_version", int64_t(0)),
--- a/src/hub/HubSyncLimits.cpp
+++ b/src/hub/HubSyncLimits.cpp
@@ -75,7 +75,11 @@
                                                        : std::optional(found->second.entry.startedAtMillis);
         },
         now);
-    auto isUnlimited = [this](const auto& item) { return !m_limits.ledger.limits.contains(item.first); };
+    auto isUnlimited = [&](const auto& item) {
+        auto cold = m_cold.ledger.replicas.find(item.first);
+        bool isCold = cold != m_cold.ledger.replicas.end() && now < cold->second.until;
+        return !isCold && !m_limits.ledger.limits.contains(item.first);
+    };
     std::erase_if(m_limits.schedules, isUnlimited);
     std::erase_if(m_limits.shares, isUnlimited);
 }
@@ -179,14 +183,23 @@
 PermitAnswer HubSync::grantPermit(
     const std::string& replica, int64_t startedAtMillis, base::Duration maxWait, BootTime now)
 {
-    const limits::ReplicaLimit* limit = limits::ledgerFind(m_limits.ledger, replica, startedAtMillis);
-    if (!limit)
+    std::optional<double> rate = replicaPermitRate(replica, startedAtMillis);
+    if (!rate)
         return { true, base::Duration(0), false };
+    bool isCold = coldUntil(replica, startedAtMillis).has_value();
     auto [schedule, isNew] = m_limits.schedules.try_emplace(replica);
     if (isNew)
-        schedule->second.nextAt = m_term.electedAt + limits::takeoverDelay;
+        schedule->second.nextAt = m_term.electedAt + (isCold ? limits::coldTakeoverDelay : limits::takeoverDelay);
     base::counterAdd("replica_permits_requested_total");
-    return limits::permitTake(schedule->second, limit->rate, now, maxWait);
+    if (!isCold)
+        return limits::permitTake(schedule->second, *rate, now, maxWait);
+    const limits::ColdState& state = m_cold.ledger.replicas.at(replica);
+    schedule->second.nextAt = std::max(schedule->second.nextAt, state.permitsFrom);
+    PermitAnswer answer
+        = limits::permitTake(schedule->second, *rate, now, std::min<base::Duration>(maxWait, limits::coldPermitWait));
+    // A returned permit would be granted again at the time of another one, which is too many within a second.
+    answer.isFromHub = false;
+    return answer;
 }
 
 Json HubSync::handlePermitCall(const std::string& from, const Json& body)
@@ -195,6 +208,7 @@
     if (termIsOver(m_term, now))
         return Json { { "hub", false } };
     applyMemberLimits(from, body, now);
+    applyMemberCold(body, now);
     PermitAnswer answer = grantPermit(body.at("replica").get<std::string>(), body.at("born").get<int64_t>(),
         base::Millis(body.at("max_wait_ms").get<int64_t>()), now);
     return Json { { "hub", true }, { "start", m_incarnation }, { "granted", answer.isGranted },
@@ -206,15 +220,20 @@
 {
     BootTime now = BootClock::now();
     maxWait = std::clamp<base::Duration>(maxWait, base::Duration(0), limits::maxPermitWait);
-    const limits::ReplicaLimit* limit = limits::ledgerFind(m_limits.ledger, replica, startedAtMillis);
-    if (!limit)
+    std::optional<double> rate = replicaPermitRate(replica, startedAtMillis);
+    if (!rate)
         return { true, base::Duration(0), false };
+    auto until = coldUntil(replica, startedAtMillis);
     if (!termIsOver(m_term, now))
         return grantPermit(replica, startedAtMillis, maxWait, now);
-    double rate = limit->rate;
     if (m_hubRecord && m_isHubReachable && m_peers) {
         Json body { { "replica", replica }, { "born", startedAtMillis },
             { "max_wait_ms", std::chrono::duration_cast<base::Millis>(maxWait).count() } };
+        if (until) {
+            const limits::ColdState& state = m_cold.ledger.replicas.at(replica);
+            body["cold_left_us"] = *until == BootTime::max() ? -1 : ageMicros(*until, now);
+            body["cold_age_us"] = ageMicros(now, state.asOf);
+        }
         uint64_t sentSequence = addLimitsToRequest(body, now);
         net::PeerResult result
             = m_peers->call(m_hubRecord->address, "permit", body, base::Clock::now() + permitTimeout);
@@ -225,7 +244,9 @@
         }
     }
     base::counterAdd("replica_permits_decided_alone_total");
-    return limits::shareTake(m_limits.shares[replica], rate, memberCount(), randomFraction(), BootClock::now());
+    limits::PermitShare& share = m_limits.shares[replica];
+    return until ? limits::coldShareTake(share, *rate, memberCount(), randomFraction(), BootClock::now())
+                 : limits::shareTake(share, *rate, memberCount(), randomFraction(), BootClock::now());
 }
 
 void HubSync::returnPermit(const std::string& replica)
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -20,8 +20,8 @@
 {
     BootTime now = BootClock::now();
     Json body { { "address", base::formatAddress(m_options.peerAddress) }, { "start", m_hubIncarnation },
-        { "stamp", m_hubChangeSequence }, { "configuration", m_configurationRevision },
-        { "configuration_version", configurationStamp().version },
+        { "stamp", m_hubChangeSequence }, { "cold_version", m_cold.hubVersion },
+        { "configuration", m_configurationRevision }, { "configuration_version", configurationStamp().version },
         { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
     if (!m_hubRecord || m_hubRecord->incarnation != m_hubIncarnation)
         body["digest"] = directory::directoryDigest(m_directory);
@@ -195,6 +195,7 @@
             m_hubRecord = HubRecord { "", *address, "", 0, 0, 0 };
     }
     applyEvacuationsReply(body, replyFreshAsOf);
+    applyColdReply(body, requestedAt, replyFreshAsOf, isHub);
     confirmDirectory(replyFreshAsOf, isHub ? DirectorySource::Hub : DirectorySource::Member);
     if (m_directory.changeSequence != before)
         notifySubscribers();
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -277,16 +277,19 @@
     input.mayUnload = now - m_hubSince >= m_options.takeoverSettlePeriod;
     for (const auto& [id, replica] : m_hubSync.directory().replicas) {
         auto state = m_replicaStates.find(id);
-        if (replica.entry.service != service.name || !directory::replicaIsUsable(replica)
-            || directory::noticeIsLeaving(m_hubSync.notices(), id, replica.entry.startedAtMillis)
-            || evacuation::isEvacuated(m_hubSync.evacuations(), replica.entry.dataCenter)
+        if (replica.entry.service != service.name)
+            continue;
+        // Orders need no permit.
+        directory::ReplicaObstacle obstacle = directory::replicaObstacle(m_hubSync.replicaLife(replica, {}), now);
+        if (obstacle == directory::ReplicaObstacle::Leaving || obstacle == directory::ReplicaObstacle::Evacuated
             || state == m_replicaStates.end() || !state->second->ledger.isCurrent || replica.isUnreachableFromHub)
             continue;
         const ReplicaState& known = *state->second;
         PlanReplica view;
         view.id = id;
         view.isLimited = isLimited(id, known);
-        view.isOccupied = known.hasJob || known.report.isExecutingOrder || view.isLimited || isQuiet(id, known);
+        view.isOccupied = known.hasJob || known.report.isExecutingOrder || view.isLimited
+            || obstacle == directory::ReplicaObstacle::Quiet;
         view.load = (known.report.running + known.report.waiting) / std::max(1.0, replica.entry.slots);
         view.held = modelsInUse(known);
         view.adaptersInTransit = known.ledger.inTransit.size();
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -27,6 +27,8 @@
 DEFINE_double(repeat_ratio, 0.2, "repeats for each request of a service");
 DEFINE_double(repeat_extra, 100, "repeats in a window beyond that, of the whole fleet");
 DEFINE_int32(quota_window_seconds, 8, "window in which the limit of an account is measured");
+DEFINE_double(cold_excess, 1.5, "times its rate that a cold replica may get in a second");
+DEFINE_double(cold_slack, 5, "requests that a cold replica may get in a second beyond that");
 DEFINE_double(quota_slack, 0, "tokens that the fleet may grant beyond an account's limit");
 
 namespace rattanshunt::settings {
@@ -107,6 +109,8 @@
     settings.extraRetries = readNonNegative("repeat_extra", FLAGS_repeat_extra, 1e9, errors);
     settings.quotaWindow = base::Seconds(
         static_cast<int64_t>(readNonNegative("quota_window_seconds", FLAGS_quota_window_seconds, 3600, errors)));
+    settings.coldExcess = readNonNegative("cold_excess", FLAGS_cold_excess, 1e6, errors);
+    settings.coldSlack = readNonNegative("cold_slack", FLAGS_cold_slack, 1e9, errors);
     settings.quotaSlack = readNonNegative("quota_slack", FLAGS_quota_slack, 1e12, errors);
     return settings;
 }
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -28,8 +28,8 @@
     double linkMbps = 1000;      // bandwidth of this instance's network link, in Mbit/s
 
     // Read again with the file. Those that only HubSync uses (maxReplicaRemovalDelay, replicaEntryInterval,
-    // orderHandoverDelay, quotaWindow, quotaSlack, and maxConfigurationDelay for its synchronization interval)
-    // nevertheless keep their value.
+    // orderHandoverDelay, quotaWindow, quotaSlack, coldExcess, coldSlack, and maxConfigurationDelay for its
+    // synchronization interval) nevertheless keep their value.
     base::LogLevel logLevel = base::LogLevel::Info; // lowest level that is logged
     base::Millis maxConfigurationDelay { 2000 };    // until a change of the configuration must be in force
     base::Millis maxRevocationDelay { 5000 };       // until a withdrawn API key must be refused, also while isolated
@@ -42,6 +42,8 @@
     double extraRetries = 100;                      // further retries of the whole fleet per window
     base::Seconds quotaWindow { 8 };                // over which an account's limit is measured
     double quotaSlack = 0;                          // tokens that the fleet may grant beyond an account's limit
+    double coldExcess = 1.5;                        // times its rate that a cold replica may get in a second
+    double coldSlack = 5;                           // requests beyond that
 };
 
 // The path in RATTANSHUNT_NODE_FILE; nothing if the variable is not set.
