Serve requests with homes in their homes only

Cause: routes and accounts may name the geos whose replicas may serve them (allowedRegions); it was not read.

A replica of unknown geo is in no home. Without a replica in a home the request is refused at once (503 no_replica_in_homes).

--- a/src/cli/GatewayDaemonOptions.cpp
+++ b/src/cli/GatewayDaemonOptions.cpp
@@ -51,6 +51,7 @@
     options.orderHandoverDelay = settings.orderHandoverDelay;
     options.quotaWindow = settings.quotaWindow;
     options.quotaSlack = settings.quotaSlack;
+    options.geos = settings.geos;
     options.coldBound = { settings.coldExcess, settings.coldSlack };
     return options;
 }
--- a/src/gateway/Configuration.h
+++ b/src/gateway/Configuration.h
@@ -46,6 +46,7 @@
     int priority = 5;                    // 0 is the most urgent
     int maxAttempts = 1;                 // attempts that may execute the request
     std::vector<ServiceWeight> services; // one is selected by weight
+    std::vector<std::string> homes;      // geos whose replicas may serve it; empty: all
 };
 
 struct ModelSpec {
@@ -84,6 +85,7 @@
     double rate = 0;             // requests or tokens per second; 0: unlimited
     double burst = 0;            // requests or tokens
     std::vector<std::string> keys;
+    std::vector<std::string> homes; // geos whose replicas may serve its requests; empty: all
 };
 
 // Limits on what a caller may send and how long it may take.
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -259,6 +259,7 @@
     }
     if (!findAccount(request))
         return false;
+    request.homes = homesOf(request);
     request.requestKey = requestKeyOf(request);
     if (!findStreamVersion(request)) {
         if (!request.accountName.empty())
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -103,6 +103,7 @@
         const directory::Replica* replica = nullptr; // null: none can take the request now
         bool needsPermit = false;
         bool isCold = false;
+        bool isInHomes = false;  // a replica that may be used is in the request's homes
         bool hasVersion = false; // a replica of the version that began the stream serves, and can get the model
         bool hasUsable = false;  // a replica has the model, but may be full, limited or tried already
         std::optional<base::BootTime> permitAt; // if all others are limited: when one is expected to have a permit
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -90,6 +90,7 @@
         if (obstacle == ReplicaObstacle::Leaving || obstacle == ReplicaObstacle::Evacuated
             || obstacle == ReplicaObstacle::OutsideHomes)
             continue;
+        choice.isInHomes = true;
         bool hasModel = !isEngine || directory::replicaHasModel(replica, request.head.model, request.head.adapter, now);
         if (request.pinnedVersion && replica.entry.version != *request.pinnedVersion) {
             isModelElsewhere = isModelElsewhere || (isEngine && hasModel);
@@ -198,6 +199,10 @@
             refusal = { "stopping", m_options.waiting.minRetryAfter };
             break;
         }
+        if (request.homes && !choice.isInHomes) {
+            refusal = { "no_replica_in_homes", std::nullopt };
+            break;
+        }
         if (request.pinnedVersion && !choice.hasVersion) {
             refusal = { "no_replica_of_version", std::nullopt };
             break;
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -213,6 +213,25 @@
 
 } // namespace
 
+std::optional<std::set<std::string>> homesOf(const RequestContext& request)
+{
+    std::optional<std::set<std::string>> homes;
+    auto restrictTo = [&](const std::vector<std::string>& allowed) {
+        if (allowed.empty())
+            return;
+        std::set<std::string> names(allowed.begin(), allowed.end());
+        if (homes)
+            std::erase_if(*homes, [&](const std::string& geo) { return !names.contains(geo); });
+        else
+            homes = std::move(names);
+    };
+    restrictTo(request.route->homes);
+    auto account = request.configuration->accounts.find(request.accountName);
+    if (account != request.configuration->accounts.end())
+        restrictTo(account->second.homes);
+    return homes;
+}
+
 bool attemptIsObsolete(const AttemptResult& result)
 {
     std::string_view reason = result.reason;
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -125,6 +125,9 @@
 // hash. Ids, deadlines and other headers differ each time.
 std::string requestKeyOf(const RequestContext&);
 
+// The geos that both the route and the account allow; empty: all.
+std::optional<std::set<std::string>> homesOf(const RequestContext&);
+
 // The text of a refusal for the caller: the reason and, if it is a block, the part or the request's key.
 std::string refusalText(const RequestContext&, std::string_view reason);
 
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -29,6 +29,7 @@
 DEFINE_int32(quota_window_seconds, 8, "window in which the limit of an account is measured");
 DEFINE_double(cold_excess, 1.5, "times its rate that a cold replica may get in a second");
 DEFINE_double(cold_slack, 5, "requests that a cold replica may get in a second beyond that");
+DEFINE_string(geos, "", "the geo of each data centre: DATACENTRE:GEO,...");
 DEFINE_double(quota_slack, 0, "tokens that the fleet may grant beyond an account's limit");
 
 namespace rattanshunt::settings {
@@ -43,6 +44,21 @@
         return address.value_or(base::Address {});
     }
 
+    std::map<std::string, std::string> readGeos(const std::string& value, std::vector<SettingError>& errors)
+    {
+        std::map<std::string, std::string> geos;
+        for (const std::string& pair : base::splitText(value, ',')) {
+            size_t colon = pair.find(':');
+            if (pair.empty())
+                continue;
+            if (colon == std::string::npos || colon == 0 || colon + 1 == pair.size())
+                errors.push_back({ "geos", value, "DATACENTRE:GEO pairs with commas between them" });
+            else
+                geos[pair.substr(0, colon)] = pair.substr(colon + 1);
+        }
+        return geos;
+    }
+
     double readNonNegative(const char* flag, double value, double max, std::vector<SettingError>& errors)
     {
         if (!(value >= 0 && value <= max))
@@ -111,6 +127,7 @@
         static_cast<int64_t>(readNonNegative("quota_window_seconds", FLAGS_quota_window_seconds, 3600, errors)));
     settings.coldExcess = readNonNegative("cold_excess", FLAGS_cold_excess, 1e6, errors);
     settings.coldSlack = readNonNegative("cold_slack", FLAGS_cold_slack, 1e9, errors);
+    settings.geos = readGeos(FLAGS_geos, errors);
     settings.quotaSlack = readNonNegative("quota_slack", FLAGS_quota_slack, 1e12, errors);
     return settings;
 }
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -6,6 +6,7 @@
 // thread only.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,7 +29,7 @@
     double linkMbps = 1000;      // bandwidth of this instance's network link, in Mbit/s
 
     // Read again with the file. Those that only HubSync uses (maxReplicaRemovalDelay, replicaEntryInterval,
-    // orderHandoverDelay, quotaWindow, quotaSlack, coldExcess, coldSlack, and maxConfigurationDelay for its
+    // orderHandoverDelay, quotaWindow, quotaSlack, coldExcess, coldSlack, geos, and maxConfigurationDelay for its
     // synchronization interval) nevertheless keep their value.
     base::LogLevel logLevel = base::LogLevel::Info; // lowest level that is logged
     base::Millis maxConfigurationDelay { 2000 };    // until a change of the configuration must be in force
@@ -44,6 +45,7 @@
     double quotaSlack = 0;                          // tokens that the fleet may grant beyond an account's limit
     double coldExcess = 1.5;                        // times its rate that a cold replica may get in a second
     double coldSlack = 5;                           // requests beyond that
+    std::map<std::string, std::string> geos;        // by data centre
 };
 
 // The path in RATTANSHUNT_NODE_FILE; nothing if the variable is not set.
