Load what only an evacuated data centre holds before everything else

Cause: the planner left evacuated replicas out, so their models were loaded elsewhere only once requests waited for them, in the order of all others.

Change: models that evacuated replicas hold and no other one come first, those on a disk elsewhere before those that the weight store has to send, dearest waiting first.

--- a/src/models/ModelPlan.cpp
+++ b/src/models/ModelPlan.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <tuple>
+
+#include "models/ModelPlanInternal.h"
 
 namespace rattanshunt::models {
 
@@ -11,45 +14,6 @@
 
 namespace {
 
-    struct ModelDemand {
-        double waiting = 0;
-        double waitingWeightSum = 0;
-        double rate = 0;
-        double awaitingFirstByte = 0;
-        double running = 0;
-    };
-
-    struct Planning {
-        const PlanInput& input;
-        const PlanOptions& options;
-        std::map<std::string, ModelDemand> demand; // by model
-        std::map<std::string, int> copies;         // loaded or being loaded
-        std::map<std::string, int> limitedCopies;  // those on replicas that limit their request rate
-        std::set<std::string> occupied;            // replicas that got a job in this plan
-        double storeLoadsLeft = 0;
-        std::vector<PlanJob> jobs;
-    };
-
-    const LoadedModel* heldModel(const PlanReplica& replica, const std::string& model)
-    {
-        for (const LoadedModel& held : replica.held) {
-            if (held.name == model)
-                return &held;
-        }
-        return nullptr;
-    }
-
-    double usedMb(const gateway::Engine& engine, const PlanReplica& replica)
-    {
-        double sum = 0;
-        for (const LoadedModel& held : replica.held) {
-            auto spec = engine.models.find(held.name);
-            if (spec != engine.models.end())
-                sum += spec->second.weightsMb + spec->second.adapterMb * static_cast<double>(held.adapters.size());
-        }
-        return sum;
-    }
-
     struct LoadSource {
         base::Millis time { 0 };
         bool isStore = false;
@@ -142,7 +106,8 @@
     }
 
     // Plans one more copy of a model on the replica where that costs least. `maxCost`: of the models unloaded for it.
-    bool placeModel(Planning& planning, const ModelSpec& spec, double maxCost)
+    // `mayUseStore`: also where its weights have to come from the weight store.
+    bool placeModel(Planning& planning, const ModelSpec& spec, double maxCost, bool mayUseStore = true)
     {
         const PlanReplica* best = nullptr;
         Eviction bestEviction;
@@ -152,7 +117,7 @@
             if (replica.isOccupied || planning.occupied.contains(replica.id) || heldModel(replica, spec.name))
                 continue;
             LoadSource source = loadSource(replica, spec);
-            if (source.isStore && planning.storeLoadsLeft < 1)
+            if (source.isStore && (!mayUseStore || planning.storeLoadsLeft < 1))
                 continue;
             auto eviction = planEviction(planning, replica, spec);
             if (!eviction || eviction->cost > maxCost)
@@ -177,6 +142,40 @@
         return true;
     }
 
+    // Plans copies of the models that only evacuated replicas hold, dearest first. Models with waiting
+    // requests that found no place are tried again with the others.
+    void placeEvacuatedModels(Planning& planning)
+    {
+        struct Missing {
+            double waitingWeightSum = 0;
+            double rate = 0;
+            const ModelSpec* spec = nullptr;
+        };
+        std::vector<Missing> missing;
+        for (const std::string& name : planning.input.evacuatedModels) {
+            auto spec = planning.input.engine->models.find(name);
+            auto copies = planning.copies.find(name);
+            if (spec == planning.input.engine->models.end() || (copies != planning.copies.end() && copies->second > 0))
+                continue;
+            const ModelDemand& demand = planning.demand[name];
+            missing.push_back({ demand.waitingWeightSum, demand.rate, &spec->second });
+        }
+        std::sort(missing.begin(), missing.end(), [](const Missing& a, const Missing& b) {
+            return std::tie(b.waitingWeightSum, b.rate, a.spec->name)
+                < std::tie(a.waitingWeightSum, a.rate, b.spec->name);
+        });
+        for (bool mayUseStore : { false, true }) {
+            for (const Missing& each : missing) {
+                const ModelDemand& demand = planning.demand[each.spec->name];
+                // Without waiting requests, what is unloaded for it must be worth less than the model itself.
+                double maxCost = demand.waiting > 0 ? std::numeric_limits<double>::max()
+                                                    : demand.rate * planning.options.swapSeconds;
+                if (planning.copies[each.spec->name] == 0)
+                    placeModel(planning, *each.spec, maxCost, mayUseStore);
+            }
+        }
+    }
+
     // Fills free memory of one replica with the model that has most requests per copy. True if a job was added.
     bool fillFreeMemory(Planning& planning, const PlanReplica& replica)
     {
@@ -213,91 +212,6 @@
         return true;
     }
 
-    // Load of the least busy replica with the model, and the adapter unless it is empty; nothing if there is none.
-    std::optional<double> lowestLoad(const Planning& planning, const std::string& model, const std::string& adapter)
-    {
-        std::optional<double> least;
-        for (const PlanReplica& replica : planning.input.replicas) {
-            const LoadedModel* held = heldModel(replica, model);
-            if (!held)
-                continue;
-            if (!adapter.empty()
-                && std::find(held->adapters.begin(), held->adapters.end(), adapter) == held->adapters.end())
-                continue;
-            if (!least || replica.load < *least)
-                least = replica.load;
-        }
-        return least;
-    }
-
-    // How much an adapter is needed, as its arrival rate plus weights for waiting and running requests.
-    double adapterNeed(const Planning& planning, const std::string& model, const std::string& adapter)
-    {
-        auto found = planning.input.demand.find({ planning.input.service, model, adapter });
-        constexpr double waitingWeight = 100; // an adapter with waiting requests is evicted last
-        constexpr double runningWeight = 10;  // one in use can't be unloaded before its running requests have ended
-        if (found == planning.input.demand.end())
-            return 0;
-        return found->second.arrivalRate + waitingWeight * found->second.waiting
-            + runningWeight * found->second.running;
-    }
-
-    // Plans the load of an adapter on a replica that has its model and evicts the least needed adapter for it.
-    void placeAdapter(Planning& planning, const ModelSpec& spec, const std::string& adapter)
-    {
-        const gateway::Engine& engine = *planning.input.engine;
-        const PlanReplica* best = nullptr;
-        std::optional<LoadedModel> bestEvicted;
-        double bestScore = std::numeric_limits<double>::max();
-        for (const PlanReplica& replica : planning.input.replicas) {
-            const LoadedModel* held = heldModel(replica, spec.name);
-            if (replica.isOccupied || planning.occupied.contains(replica.id) || !held)
-                continue;
-            if (std::find(held->adapters.begin(), held->adapters.end(), adapter) != held->adapters.end())
-                continue;
-            size_t usedSlots = replica.adaptersInTransit;
-            std::optional<LoadedModel> leastNeeded;
-            double leastNeed = std::numeric_limits<double>::max();
-            for (const LoadedModel& model : replica.held) {
-                usedSlots += model.adapters.size();
-                for (const std::string& other : model.adapters) {
-                    if (replica.adaptersNotConfirmed.contains(model.name + "/" + other))
-                        continue;
-                    double need = adapterNeed(planning, model.name, other);
-                    if (need < leastNeed) {
-                        leastNeed = need;
-                        leastNeeded = LoadedModel { model.name, { other } };
-                    }
-                }
-            }
-            double score = replica.load;
-            std::optional<LoadedModel> evicted;
-            bool isFull
-                = usedSlots >= engine.adapterSlots || usedMb(engine, replica) + spec.adapterMb > engine.weightsMb;
-            if (isFull) {
-                if (!leastNeeded)
-                    continue;
-                evicted = leastNeeded;
-                score += leastNeed + 0.2;
-            }
-            if (score < bestScore) {
-                bestScore = score;
-                best = &replica;
-                bestEvicted = evicted;
-            }
-        }
-        if (!best)
-            return;
-        planning.occupied.insert(best->id);
-        PlanJob job;
-        job.replica = best->id;
-        job.model = spec.name;
-        job.adapter = adapter;
-        if (bestEvicted)
-            job.unloadAdapters.push_back(*bestEvicted);
-        planning.jobs.push_back(std::move(job));
-    }
-
 } // namespace
 
 Plan planJobs(const PlanInput& input, const PlanOptions& options)
@@ -327,6 +241,7 @@
     std::sort(order.begin(), order.end(),
         [](auto& a, auto& b) { return a.first != b.first ? a.first > b.first : a.second->name < b.second->name; });
 
+    placeEvacuatedModels(planning);
     std::vector<std::string> unplacedModels;
     // Models with waiting requests but no copy, by the weight of these requests.
     for (auto& [waitingWeightSum, spec] : order) {
--- a/src/models/ModelPlan.h
+++ b/src/models/ModelPlan.h
@@ -16,6 +16,9 @@
 // model whose copies are all on such replicas gets another one where the unloaded models cost less than requests wait
 // for it.
 //
+// A data centre is evacuated, and with it the only copies of some models. They are loaded elsewhere before all others,
+// those that are on a disk there before those that the weight store has to send.
+//
 // Memory left free by a crash or on a new replica is filled before anything is requested, from host memory and disk
 // first.
 //
@@ -49,10 +52,11 @@
 struct PlanInput {
     const gateway::Engine* engine = nullptr;
     std::string service;
-    std::vector<PlanReplica> replicas; // usable ones whose loaded models are known from a report
-    hub::DemandTable demand;           // of all services
-    double storeLoadsLeft = 0;         // loads from the weight store that may start now
-    bool mayUnload = true;             // false while demand is not known well enough to unload models
+    std::vector<PlanReplica> replicas;     // usable ones whose loaded models are known from a report
+    std::set<std::string> evacuatedModels; // held by replicas of data centres that are being evacuated
+    hub::DemandTable demand;               // of all services
+    double storeLoadsLeft = 0;             // loads from the weight store that may start now
+    bool mayUnload = true;                 // false while demand is not known well enough to unload models
 };
 
 struct PlanJob {
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -281,6 +281,10 @@
             continue;
         // Orders need no permit.
         directory::ReplicaObstacle obstacle = directory::replicaObstacle(m_hubSync.replicaLife(replica, {}), now);
+        if (obstacle == directory::ReplicaObstacle::Evacuated) {
+            for (const LoadedModel& held : directory::replicaModels(replica))
+                input.evacuatedModels.insert(held.name);
+        }
         if (obstacle == directory::ReplicaObstacle::Leaving || obstacle == directory::ReplicaObstacle::Evacuated
             || state == m_replicaStates.end() || !state->second->ledger.isCurrent || replica.isUnreachableFromHub)
             continue;
--- a/tests/PlannerTests.cpp
+++ b/tests/PlannerTests.cpp
@@ -204,3 +204,37 @@
         cr_assert_leq(concurrency.estimatedLoads, actualLimit * models::storeConcurrencySlowdownLimit + 1);
     }
 }
+
+// Guards against the models of an evacuated data centre being loaded only when requests wait for them, and against a
+// load from the weight store taking the place of one from disk.
+Test(planner, models_of_an_evacuated_data_center_are_loaded_elsewhere_first)
+{
+    PlanFixture fixture;
+    fixture.addReplica("a", { "m1" }).onDisk = { "m3" };
+    fixture.input.evacuatedModels = { "m1", "m2", "m3" };
+    fixture.demand("m2").arrivalRate = 5;
+    fixture.demand("m3").arrivalRate = 1;
+    models::Plan plan = fixture.plan();
+    cr_assert_eq(plan.jobs.size(), 1U);
+    cr_expect_str_eq(plan.jobs[0].model.c_str(), "m3", "the copy on disk");
+    cr_expect(!plan.jobs[0].isFromStore);
+    fixture.addReplica("b", {});
+    plan = fixture.plan();
+    cr_assert_eq(plan.jobs.size(), 2U);
+    cr_expect_str_eq(plan.jobs[1].model.c_str(), "m2");
+    cr_expect(plan.jobs[1].isFromStore);
+}
+
+// Guards against the model with the dearest waiting requests coming after others, and against models that are held
+// elsewhere being loaded again.
+Test(planner, of_evacuated_models_the_dearest_waiting_is_loaded_first)
+{
+    PlanFixture fixture;
+    fixture.addReplica("a", { "m1" });
+    fixture.input.evacuatedModels = { "m1", "m2", "m3" };
+    fixture.demand("m2") = { 3, 0.5, 0, 0, 5 };
+    fixture.demand("m3") = { 1, 1, 0, 0, 0.1 };
+    models::Plan plan = fixture.plan();
+    cr_assert_eq(plan.jobs.size(), 1U);
+    cr_expect_str_eq(plan.jobs[0].model.c_str(), "m3");
+}
