--- a/src/hub/HubSyncCold.cpp
+++ b/src/hub/HubSyncCold.cpp
@@ -140,7 +140,8 @@
             { "for_ms", until == BootTime::max() ? -1 : ageMillis(until, BootClock::now()) } });
 }
 
-// The replicas of a data centre are used again. Until their entries tell, they may be cold.
+// The replicas of a data centre are used again. Until their entries tell, they may be cold. An entry that says that its
+// replica is warm is not changed by the next one that says so, so the presumption ends by itself.
 void HubSync::presumeCold(const std::string& dataCenter)
 {
     BootTime now = BootClock::now();
@@ -148,8 +149,7 @@
         const gateway::Service* service = coldServiceOf(id);
         if (!service || replica.entry.dataCenter != dataCenter)
             continue;
-        BootTime until = replica.entry.coldTimeLeft ? BootTime::max() : now + service->coldTime;
-        limits::coldPresume(m_cold.ledger, id, replica.entry.startedAtMillis, until, now);
+        limits::coldPresume(m_cold.ledger, id, replica.entry.startedAtMillis, now + service->coldTime, now);
         logCold(id, "returned");
     }
 }
