Select replicas by the pace that they state

Replicas share their machines: their speeds differ and change many times a second, and they state their pace as a fourth figure of Server-Load. A header with four figures was dropped whole, so that daemons only had the hub's reports, which lag; all of them chose the same replica until the next ones (measured: busiest replica 4.6 times the mean).

The header is read with three or four figures. pace/ReplicaPace.h estimates the times on a replica now, and the selection adds the difference to the usual pace as a cost. If a candidate states its pace, one of the near-best is drawn, without a larger fixed cost. Without such replicas the selection is the same as before.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -26,6 +26,7 @@
 #include "gateway/WaitPolicy.h"
 #include "hub/HubSync.h"
 #include "net/Http.h"
+#include "pace/ReplicaPace.h"
 
 namespace rattanshunt::gateway {
 
@@ -51,6 +52,7 @@
     // Replicas without an engine have few slots and short calls: one request more or less causes no waiting.
     ReplicaSelectionOptions plainSelection { .connectionCost = 0.2 };
     OwnLoadOptions ownLoad;
+    pace::PaceOptions pace;
     ReplicaConnectionOptions connections;
     ResponseMemoryOptions responseMemory;
 };
@@ -97,6 +99,7 @@
         base::BootTime lastSuccessAt {};    // time of the last complete response
         base::BootTime noPermitBefore {};   // a permit was denied; another one is asked for then
         base::BootTime permitExpectedAt {}; // after a permit was denied
+        pace::ReplicaPace pace;
     };
 
     struct ReplicaChoice {
@@ -133,6 +136,9 @@
     void recordRequestEnd(const RequestContext&, int status, const char* outcome, const char* reason);
     ReplicaStats& statsOf(const directory::Replica&);
     void recordLoad(ReplicaStats&, double running, double waiting, base::BootTime reportedAt);
+    void recordPace(ReplicaStats&, const ResponseHead::Load&, base::BootTime now);
+    void recordTimes(ReplicaStats&, const RequestContext&, const AttemptResult&, uint64_t eventsBefore);
+    void addPace(ReplicaCandidate&, const ReplicaStats&, const ReplicaSelectionOptions&, base::BootTime now) const;
     void recordLimit(const RequestContext&, const ReplicaEntry&, const NamedLimit&, base::BootTime requestedAt);
     bool hasPermitFor(const RequestContext&, const ReplicaEntry&, base::BootTime now) const;
     directory::ReplicaLife lifeOf(const RequestContext&, const directory::Replica&, base::BootTime now) const;
@@ -159,6 +165,7 @@
     std::map<std::string, base::BootTime> m_noColdPermitBefore; // by service name; one was denied
     std::map<hub::DemandKey, double> m_arrivalRates;            // arrivals per second, as of m_arrivalRatesAt
     base::BootTime m_arrivalRatesAt {};
+    std::map<hub::ModelKey, pace::UsualTimes> m_usualEventTimes; // by service and model
     std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
     std::map<std::string, UsualTime> m_usualTimes; // by route, from sending a request to the end of its response
     base::BootTime m_endsAt = base::BootTime::max();
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -82,6 +82,7 @@
     BootTime now = BootClock::now();
     bool isEngine = request.service->engine && !request.head.model.empty();
     BootTime noColdPermitBefore = m_noColdPermitBefore[request.service->name];
+    const ReplicaSelectionOptions& selectionOptions = isEngine ? m_options.engineSelection : m_options.plainSelection;
     for (const auto& [id, replica] : m_hubSync.directory().replicas) {
         if (replica.entry.service != request.service->name)
             continue;
@@ -139,6 +140,7 @@
         candidate.failureScore = decayedFailureScore(stats, now);
         candidate.isInOtherDataCenter = replica.entry.dataCenter != m_hubSync.options().dataCenter;
         candidate.hasIdleConnection = m_connectionPool.hasIdle(replica.entry.address, request.progress.retryClass);
+        addPace(candidate, stats, selectionOptions, now);
         candidates.push_back(candidate);
         replicas.push_back(&replica);
     }
@@ -146,7 +148,7 @@
     selection.hasLongPrompt = request.head.promptTokens >= m_options.longPromptTokens;
     selection.modelHash = isEngine ? base::stableHash(request.head.model) | 1 : 0;
     choice.hasVersion = hasVersion && (choice.hasUsable || !isModelElsewhere);
-    auto chosen = replicaSelect(candidates, selection, isEngine ? m_options.engineSelection : m_options.plainSelection);
+    auto chosen = replicaSelect(candidates, selection, selectionOptions);
     if (chosen) {
         choice.replica = replicas[*chosen];
         choice.needsPermit = candidates[*chosen].isLimited;
@@ -309,7 +311,9 @@
     };
     // At the head of the response: a stream may end seconds after its replica reported the load.
     request.onLoad = [this, id = entry.id](const ResponseHead::Load& load) {
-        recordLoad(m_replicaStats[id], load.running, load.waiting, BootClock::now());
+        BootTime now = BootClock::now();
+        recordLoad(m_replicaStats[id], load.running, load.waiting, now);
+        recordPace(m_replicaStats[id], load, now);
     };
     beginPartEvidence(request);
     BootTime begunAt = BootClock::now();
@@ -332,6 +336,7 @@
     if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis))
         base::logEvent(LogLevel::Info, "replica.limited_call",
             { { "replica", entry.id }, { "kind", "request" }, { "id", request.head.id } });
+    uint64_t eventsBefore = request.eventSplitter.completeEvents;
     AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool, m_responseMemory);
     if (!attemptIsObsolete(result))
         attempts::progressCountAttempt(request.progress, result.outcome);
@@ -354,6 +359,7 @@
     ownLoadChange(stats.ownLoad, -1, now, m_options.ownLoad);
     if (result.outcome == AttemptOutcome::Complete) {
         stats.lastSuccessAt = now;
+        recordTimes(stats, request, result, eventsBefore);
         usualTimeRecord(m_usualTimes[request.route->name], now - begunAt);
     }
     double failureScore = decayedFailureScore(stats, now);
--- a/src/gateway/ReplicaSelection.cpp
+++ b/src/gateway/ReplicaSelection.cpp
@@ -33,6 +33,32 @@
     return isForShortPrompts;
 }
 
+struct ReplicaCost {
+    double fixed = 0; // what does not depend on the replica's load
+    double total = std::numeric_limits<double>::max();
+};
+
+// One of the candidates near `best`, by a draw that differs for each request. None has a larger fixed cost, so that the
+// draw causes no traffic to other data centres and opens no connections.
+static size_t drawNearBest(const std::vector<ReplicaCandidate>& candidates, const std::vector<ReplicaCost>& costs,
+    size_t best, uint64_t requestHash, const ReplicaSelectionOptions& options)
+{
+    constexpr double fixedTolerance = 0.01; // failures long ago leave a small cost
+    size_t drawn = best;
+    uint64_t highest = 0;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        if (costs[i].total > costs[best].total + options.nearBestMargin
+            || costs[i].fixed > costs[best].fixed + fixedTolerance)
+            continue;
+        uint64_t draw = base::stableHash(candidates[i].id, requestHash + 1);
+        if (draw >= highest) {
+            highest = draw;
+            drawn = i;
+        }
+    }
+    return drawn;
+}
+
 std::optional<size_t> replicaSelect(const std::vector<ReplicaCandidate>& candidates, const SelectionRequest& request,
     const ReplicaSelectionOptions& options)
 {
@@ -62,6 +88,7 @@
     }
     std::optional<size_t> best;
     double bestCost = std::numeric_limits<double>::max();
+    std::vector<ReplicaCost> costs(candidates.size());
     for (size_t i = 0; i < candidates.size(); ++i) {
         const ReplicaCandidate& candidate = candidates[i];
         if (hasHealthy && candidate.failureScore >= options.maxFailureScore)
@@ -69,18 +96,21 @@
         double load = replicaLoad(candidate, options);
         if (load >= options.maxLoad)
             continue;
-        double cost = load + candidate.failureScore * options.failureCost;
-        cost += candidate.ownAwaitingFirstByte * options.prefillCost;
-        cost += candidate.reportedWaiting * options.waitingCost
-            * std::exp2(-base::secondsOf(candidate.reportAge) / base::secondsOf(options.waitingHalfLife));
+        double fixed = candidate.failureScore * options.failureCost;
         if (hasGroups && isForShortPrompts[i] == request.hasLongPrompt)
-            cost += options.otherGroupCost;
+            fixed += options.otherGroupCost;
         if (candidate.isLimited)
-            cost += options.limitedCost;
+            fixed += options.limitedCost;
         if (candidate.isInOtherDataCenter)
-            cost += options.otherDataCenterCost;
+            fixed += options.otherDataCenterCost;
         if (!candidate.hasIdleConnection)
-            cost += options.connectionCost;
+            fixed += options.connectionCost;
+        double cost = load + fixed + candidate.ownAwaitingFirstByte * options.prefillCost;
+        cost += candidate.reportedWaiting * options.waitingCost
+            * std::exp2(-base::secondsOf(candidate.reportAge) / base::secondsOf(options.waitingHalfLife));
+        if (candidate.statesPace)
+            cost += candidate.paceCost;
+        costs[i] = { fixed, cost };
         if (preferred && *preferred == i)
             cost -= options.affinityBonus;
         // Breaks ties differently for each request.
@@ -90,6 +120,10 @@
             best = i;
         }
     }
+    bool statesPace = std::any_of(
+        candidates.begin(), candidates.end(), [](const ReplicaCandidate& candidate) { return candidate.statesPace; });
+    if (best && best != preferred && statesPace)
+        return drawNearBest(candidates, costs, *best, request.requestHash, options);
     return best;
 }
 
--- a/src/gateway/ReplicaSelection.h
+++ b/src/gateway/ReplicaSelection.h
@@ -15,6 +15,10 @@
 // every request would open a connection; among replicas that are about equally busy, the one with an idle connection is
 // used.
 //
+// Replicas that state their pace are costlier while they are slow. All daemons see the same figures, so that they would
+// all send to the same replica until the next ones arrive: one of the near-best is drawn instead, unless a request's
+// preferred replica is the best.
+//
 // Pure functions; safe to call from any thread.
 #pragma once
 
@@ -44,6 +48,8 @@
     bool isLimited = false;         // names a limit on its request rate, or is cold
     bool isCold = false;            // has started recently, or is presumed to have
     bool hasIdleConnection = false; // the connection pool holds an idle connection to it
+    bool statesPace = false;        // its responses state its pace, see pace/ReplicaPace.h
+    double paceCost = 0;            // pace::paceCost(), if it states one
 };
 
 struct SelectionRequest {
@@ -69,6 +75,7 @@
     double shortPromptFraction = 0.34;    // fraction of a model's replicas that prefer short prompts
     size_t minReplicasForGroups = 1000;   // replicas of a model from which on they are grouped
     double maxFailureScore = 3;           // at this score a replica is used only if there is no other
+    double nearBestMargin = 0.6;          // by which a near-best replica may cost more than the best
 };
 
 // ---- [2] Decisions -----------------------------------------------------------------------------
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -71,6 +71,7 @@
         double running = 0;
         double waiting = 0;
         double slots = 0;
+        std::optional<double> pace; // 1: work takes as long as usual there, 2: twice as long; empty: not stated
     };
     std::optional<Load> load;
     NamedLimit limit;
