Offer free slots to waiting requests in an order, and refuse those whose turn comes too late

Each waiting request polled every 150 ms and the first to look took a free slot: often one that could only be late, while others missed their target; many were held until their callers left and then refused.

admission/WaitingQueue.h orders them: priority, then those that can meet their target, least time left first, then late ones. A released slot or news wakes the first; it passes the offer on if it finds none. The rate at which requests of a kind get slots says when each has its turn; one that would come too late is refused at once, with that time. A priority served less than half as often as a more urgent one goes first. While the store is silent, keyed requests that can't be served before keys are too old are refused at once (configuration_stale).

--- a/lab/ReplicaReplay.h
+++ b/lab/ReplicaReplay.h
@@ -1,12 +1,15 @@
-// Replays many daemons that send streams to replicas whose speeds change, without a network.
+// Replays many daemons that send streams to replicas whose speeds change, without a network. For tests.
+// Thread safety: one thread.
 #pragma once
 
 #include <algorithm>
 #include <deque>
+#include <list>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "admission/WaitingQueue.h"
 #include "base/Text.h"
 #include "gateway/ReplicaSelection.h"
 #include "pace/ReplicaPace.h"
@@ -17,18 +20,35 @@
     enum class Header { Dropped, WithoutPace, WithPace } header = Header::WithPace; // what daemons read of Server-Load
     gateway::ReplicaSelectionOptions selection {};
     pace::PaceOptions pace {};
+    admission::WaitingOptions waiting {};
     int daemons = 40;
     int replicas = 16;
     double requestsPerSecond = 70;
     int seconds = 40;
     unsigned seed = 1;
     int paceChangeMillis = 100;
+    bool hasQueue = true;         // otherwise the first waiting request that looks for a slot takes it
+    int expectedFirstEvent = 300; // milliseconds from sending, as daemons expect
+    int burstFrom = 0;            // seconds
+    int burstUntil = 0;
+    double burstFactor = 2.4;
+};
+
+struct ReplayedKind {
+    int target = 0; // milliseconds to the first event
+    int leaveAfter = 0;
+    int arrived = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    double heldInVain = 0; // seconds beyond an eighth of the target, of refused requests
 };
 
 struct ReplicaReplayResult {
     double busiestToMean = 0; // time average of the largest number of requests per speed, by its mean
     double firstEventP50 = 0; // milliseconds from arrival
     double firstEventP99 = 0;
+    std::vector<ReplayedKind> kinds;
 };
 
 class ReplicaReplay {
@@ -43,8 +63,10 @@
             m_replicas[i].id = "i-" + std::to_string(i);
             m_replicas[i].baseSpeed = draw(0.55, 1.2);
         }
-        for (Daemon& daemon : m_daemons)
+        for (Daemon& daemon : m_daemons) {
             daemon.views.resize(m_replicas.size());
+            daemon.queue = admission::WaitingQueue<Request>(options.waiting);
+        }
     }
 
     ReplicaReplayResult run()
@@ -55,19 +77,14 @@
                 for (Replica& replica : m_replicas)
                     replica.speed = std::clamp(replica.baseSpeed * draw(0.6, 1.4), 0.55, 1.2);
             }
-            for (untilArrival -= m_options.requestsPerSecond / 1000; untilArrival < 0;
-                 untilArrival += std::exponential_distribution<double>(1)(m_random))
+            bool isBurst = m_now >= m_options.burstFrom * 1000 && m_now < m_options.burstUntil * 1000;
+            untilArrival -= m_options.requestsPerSecond * (isBurst ? m_options.burstFactor : 1) / 1000;
+            for (; untilArrival < 0; untilArrival += std::exponential_distribution<double>(1)(m_random))
                 arrive();
             if (m_now % 1200 == 0)
                 sendReports();
-            for (Daemon& daemon : m_daemons) {
-                for (size_t i = daemon.waiting.size(); m_now % 25 == 0 && i > 0; --i) {
-                    Request request = daemon.waiting.front();
-                    daemon.waiting.pop_front();
-                    if (!send(daemon, request))
-                        daemon.waiting.push_back(request);
-                }
-            }
+            for (Daemon& daemon : m_daemons)
+                checkWaiting(daemon);
             for (size_t i = 0; i < m_replicas.size(); ++i)
                 step(i);
             recordLoads();
@@ -76,6 +93,7 @@
         result.busiestToMean = m_ratioSum / m_ratioCount;
         result.firstEventP50 = quantile(m_firstEvents, 0.5);
         result.firstEventP99 = quantile(m_firstEvents, 0.99);
+        result.kinds = m_kinds;
         return result;
     }
 
@@ -83,6 +101,9 @@
     struct Request {
         size_t daemon = 0;
         int arrivedAt = 0;
+        size_t kind = 0;
+        int checkAt = 0; // while it waits
+        admission::WaitingTerms terms;
         uint64_t hash = 0;
         double prefillLeft = 0; // milliseconds of work
         double eventsLeft = 0;
@@ -107,9 +128,12 @@
     };
     struct Daemon {
         std::vector<View> views;
-        std::deque<Request> waiting;
+        std::list<Request> waiting;
+        admission::WaitingQueue<Request> queue;
+        bool isReleased = false; // one of its requests has ended
     };
     static constexpr double slots = 8;
+    static constexpr int recheckInterval = 150;
 
     double draw(double low, double high) { return std::uniform_real_distribution<double>(low, high)(m_random); }
     static base::BootTime timeOf(int millis) { return base::BootTime {} + base::Millis(1000000 + millis); }
@@ -127,8 +151,60 @@
         request.hash = m_random();
         request.prefillLeft = draw(0, 1) < 0.15 ? 150 : 30;
         request.eventsLeft = draw(10, 50);
-        if (!send(m_daemons[request.daemon], request))
-            m_daemons[request.daemon].waiting.push_back(request);
+        request.kind = request.hash % m_kinds.size();
+        ReplayedKind& kind = m_kinds[request.kind];
+        kind.arrived += 1;
+        int serviceTime = m_options.expectedFirstEvent;
+        request.terms.targetAt = timeOf(m_now + kind.target - serviceTime);
+        request.terms.leaveAt = timeOf(m_now + kind.leaveAfter - 150);
+        Daemon& daemon = m_daemons[request.daemon];
+        bool mustWait = m_options.hasQueue && daemon.queue.firstBefore(request.terms, timeOf(m_now));
+        if (!mustWait && send(daemon, request))
+            return;
+        request.checkAt = m_now + recheckInterval;
+        daemon.waiting.push_back(request);
+        daemon.queue.add(daemon.waiting.back(), request.terms, true, timeOf(m_now));
+    }
+
+    void checkWaiting(Daemon& daemon)
+    {
+        base::BootTime now = timeOf(m_now);
+        bool isDue = daemon.isReleased;
+        for (Request& request : daemon.waiting) {
+            isDue = isDue || request.checkAt <= m_now;
+            if (request.checkAt <= m_now)
+                request.checkAt += recheckInterval;
+        }
+        if (!isDue)
+            return;
+        daemon.isReleased = false;
+        if (m_options.hasQueue) {
+            daemon.queue.beginOffers();
+            while (Request* request = daemon.queue.first(now)) {
+                if (!send(daemon, *request)) {
+                    daemon.queue.pass(*request, now);
+                    continue;
+                }
+                daemon.queue.recordTaken(request->terms, now);
+                daemon.queue.remove(*request, now);
+                daemon.waiting.remove_if([&](const Request& each) { return &each == request; });
+            }
+        } else {
+            daemon.waiting.sort([](const Request& a, const Request& b) { return a.hash < b.hash; });
+            std::erase_if(daemon.waiting, [&](const Request& request) {
+                return send(daemon, request) && (daemon.queue.remove(const_cast<Request&>(request), now), true);
+            });
+        }
+        std::erase_if(daemon.waiting, [&](const Request& request) {
+            auto expected = m_options.hasQueue ? daemon.queue.expectedWait(request.terms, now) : std::nullopt;
+            if (now + expected.value_or(base::Duration(0)) < request.terms.leaveAt)
+                return false;
+            ReplayedKind& kind = m_kinds[request.kind];
+            kind.refused += 1;
+            kind.heldInVain += std::max(0.0, m_now - request.arrivedAt - kind.target / 8.0) / 1000;
+            daemon.queue.remove(const_cast<Request&>(request), now);
+            return true;
+        });
     }
 
     bool send(Daemon& daemon, Request request)
@@ -174,6 +250,8 @@
                 Request started = request;
                 replica.prefills.pop_front();
                 m_firstEvents.push_back(m_now - started.arrivedAt);
+                ReplayedKind& kind = m_kinds[started.kind];
+                (m_now - started.arrivedAt <= kind.target ? kind.inTime : kind.late) += 1;
                 replica.running.push_back(started);
                 recordHead(index, started);
             }
@@ -185,8 +263,10 @@
                 continue;
             request.untilEvent -= 1;
             request.eventsLeft -= 1;
-            if (request.eventsLeft <= 0)
+            if (request.eventsLeft <= 0) {
                 m_daemons[request.daemon].views[index].own -= 1;
+                m_daemons[request.daemon].isReleased = true;
+            }
         }
         std::erase_if(replica.running, [](const Request& request) { return request.eventsLeft <= 0; });
     }
@@ -238,6 +318,7 @@
     std::vector<Replica> m_replicas;
     std::vector<Daemon> m_daemons;
     std::vector<double> m_firstEvents;
+    std::vector<ReplayedKind> m_kinds { { 800, 3200 }, { 2500, 10000 } };
     double m_ratioSum = 0;
     double m_ratioCount = 0;
     int m_now = 0;
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -38,6 +38,7 @@
     , m_hubSync(hubSync)
     , m_connectionPool(loop, m_options.connections)
     , m_responseMemory { m_options.responseMemory }
+    , m_waitingQueue(m_options.waitingQueue)
 {
     m_options.retryBudget.processStartedAt = BootClock::now();
 }
@@ -67,7 +68,7 @@
             newLimits.idleTimeout = configuration->limits.idleTimeout;
             m_server->setLimits(newLimits);
         }
-        wakeWaiting();
+        offerSlots();
     });
     m_hubSync.setDemandSource([this] { return demand(); });
     m_hubSync.setAwaitingModelCheck([this] {
@@ -131,12 +132,6 @@
     return table;
 }
 
-void Gateway::wakeWaiting()
-{
-    for (RequestContext* request : m_waitingRequests)
-        request->wakeEvent.set();
-}
-
 // ---- Logging and refusals ----------------------------------------------------------------------
 
 void Gateway::recordRequestEnd(const RequestContext& request, int status, const char* outcome, const char* reason)
@@ -292,7 +287,7 @@
         if (request.progress.attemptsPossiblyExecuted == 0 && !request.accountName.empty())
             m_hubSync.quotaReturn(request.accountName, request.tokenCost);
     }
-    m_waitingRequests.erase(&request);
+    endWait(request);
     m_requests.erase(&request);
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 
+#include "admission/WaitingQueue.h"
 #include "gateway/OwnLoad.h"
 #include "gateway/ReplicaConnectionPool.h"
 #include "gateway/ReplicaSelection.h"
@@ -34,6 +35,7 @@
 
 struct GatewayOptions {
     base::Millis maxConfigurationAgeForKeys { 4800 };   // up to this age API keys are trusted
+    base::Millis lateConfigurationAge { 1800 };         // from which on the store is taken for silent
     base::Millis maxConfigurationAgeForDenial { 1800 }; // up to this age an unknown route or key gets 404 or 401
     base::Millis defaultRetryAfter { 300 };             // Retry-After of a refusal without an estimate
     double longPromptTokens = 2500;                     // prompts of this length delay other requests during prefill
@@ -43,6 +45,7 @@
     base::Seconds rateTimeConstant { 10 };              // for smoothing arrival rates
     base::Millis loggedDirectoryAge { 1000 };           // sends on older knowledge of the replicas are logged
     WaitOptions waiting;
+    admission::WaitingOptions waitingQueue;
     base::Millis sweepInterval { 1000 };   // for closing expired idle connections
     base::Millis failureHalfLife { 2500 }; // of a replica's failureScore
     // A replica that the hub cannot reach is used for this long after its last complete response to this daemon.
@@ -147,7 +150,15 @@
     const char* findSendObstacle(RequestContext&, const ReplicaEntry&);
     void recordSend(const RequestContext&, const ReplicaEntry&, base::BootTime attemptBegunAt);
     double decayedFailureScore(ReplicaStats&, base::BootTime now) const;
-    void wakeWaiting();
+    admission::WaitingTerms waitingTerms(const RequestContext&, const std::set<std::string>& tried) const;
+    void offerSlots();
+    void wakeFirstWaiting();
+    void wakeAllWaiting();
+    bool mustWaitForOthers(const RequestContext&, const admission::WaitingTerms&, base::BootTime now);
+    void recordSlotTaken(const admission::WaitingTerms&, base::BootTime now);
+    void recordNoSlot(RequestContext&, base::BootTime now);
+    void waitForSlot(RequestContext&, const admission::WaitingTerms&, base::Duration recheckAfter);
+    void endWait(RequestContext&);
     void decayArrivalRates(base::BootTime now);
     bool mayEndInTime(const RequestContext&, base::BootTime now) const;
 
@@ -159,7 +170,8 @@
     ResponseMemory m_responseMemory;
     std::optional<net::HttpServerHandle> m_server;
     std::set<RequestContext*> m_requests;
-    std::set<RequestContext*> m_waitingRequests;
+    std::set<RequestContext*> m_waitingRequests;                // for a slot, a permit or newer knowledge of replicas
+    admission::WaitingQueue<RequestContext> m_waitingQueue;     // those that wait for a slot
     std::map<std::string, ReplicaStats> m_replicaStats;         // by replica id
     std::map<std::string, RetryBudget> m_retryBudgets;          // by service name
     std::map<std::string, base::BootTime> m_noColdPermitBefore; // by service name; one was denied
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -179,108 +179,6 @@
     return std::nullopt;
 }
 
-// Waits for a replica that can take the request. Null, with the reason in `refusal`, if there is none. Suspends.
-const directory::Replica* Gateway::awaitReplica(
-    RequestContext& request, const std::set<std::string>& tried, Refusal& refusal)
-{
-    BootTime since = BootClock::now();
-    bool hasRequestedSync = false;
-    while (!request.hasCallerLeft) {
-        ReplicaChoice choice = selectReplica(request, tried);
-        bool hasUsableReplica = choice.hasUsable;
-        BootTime now = BootClock::now();
-        if (!hasFreshConfiguration(now) && !request.accountName.empty()) {
-            refusal = { "configuration_stale", m_options.defaultRetryAfter };
-            break;
-        }
-        if (auto partIsBlocked = partRefusal(request)) {
-            refusal = *partIsBlocked;
-            break;
-        }
-        if (m_isEnding || !mayEndInTime(request, now)) {
-            refusal = { "stopping", m_options.waiting.minRetryAfter };
-            break;
-        }
-        if (request.homes && !choice.isInHomes) {
-            refusal = { "no_replica_in_homes", std::nullopt };
-            break;
-        }
-        if (request.pinnedVersion && !choice.hasVersion) {
-            refusal = { "no_replica_of_version", std::nullopt };
-            break;
-        }
-        if (choice.replica && m_hubSync.directoryIsTooOld(m_hubSync.options().directoryAge.maxToSelect)) {
-            if (request.deadline - now <= m_options.waiting.minServiceTime) {
-                refusal = { directoryTooOldReason, m_options.waiting.minRetryAfter };
-                break;
-            }
-            m_waitingRequests.insert(&request);
-            request.wakeEvent.reset();
-            request.wakeEvent.waitUntil(base::Clock::now() + m_hubSync.options().directoryAge.refreshWait);
-            continue;
-        }
-        if (choice.replica && choice.needsPermit) {
-            acquirePermit(request, *choice.replica, choice.isCold);
-            continue;
-        }
-        if (choice.replica) {
-            if (!hasPermitFor(request, choice.replica->entry, now))
-                releasePermit(request);
-            m_waitingRequests.erase(&request);
-            request.totalWait += now - since;
-            return choice.replica;
-        }
-        if (m_isDraining && now - since > m_options.maxDrainWait) {
-            refusal = { "stopping", m_options.waiting.minRetryAfter };
-            break;
-        }
-        WaitInputs inputs;
-        inputs.waited = now - since;
-        inputs.timeLeft = request.deadline - now;
-        inputs.firstByteTimeLeft = request.firstByteDeadline - now;
-        inputs.waitingRequests = m_waitingRequests.size();
-        inputs.hasUsableReplica = hasUsableReplica;
-        inputs.isEngineService = request.service->engine.has_value();
-        inputs.hasTriedReplica = !tried.empty();
-        inputs.hasHub = m_hubSync.hasHub();
-        inputs.isForAdapter = !request.head.adapter.empty();
-        if (choice.permitAt)
-            inputs.permitIn = std::max<base::Duration>(base::Duration(0), *choice.permitAt - now);
-        if (!hasUsableReplica) {
-            if (auto readyAt = estimatedReadyAt(request))
-                inputs.readyIn = *readyAt - now;
-        }
-        WaitDecision decision = waitDecide(inputs, m_options.waiting);
-        if (!decision.mayWait) {
-            base::logEvent(LogLevel::Info, "request.not_waiting",
-                { { "id", request.head.id }, { "why", decision.reason }, { "model", request.head.model },
-                    { "is_held", hasUsableReplica },
-                    { "ready_in_ms", inputs.readyIn ? base::millisOf(*inputs.readyIn) : -1 },
-                    { "permit_in_ms", inputs.permitIn ? base::millisOf(*inputs.permitIn) : -1 },
-                    { "patience_left_ms", base::millisOf(inputs.firstByteTimeLeft) },
-                    { "waited_ms", base::millisOf(inputs.waited) }, { "waiting_here", inputs.waitingRequests },
-                    { "has_hub", inputs.hasHub },
-                    { "retry_after_ms", decision.retryAfter ? decision.retryAfter->count() : 0 } });
-            refusal = { decision.reason, decision.retryAfter };
-            break;
-        }
-        m_waitingRequests.insert(&request);
-        if (!hasUsableReplica && !hasRequestedSync) {
-            hasRequestedSync = true;
-            m_hubSync.requestSync();
-        }
-        request.isAwaitingModel = !hasUsableReplica;
-        base::Duration recheckAfter = decision.recheckAfter;
-        if (inputs.readyIn && *inputs.readyIn > base::Duration(0))
-            recheckAfter = std::min(recheckAfter, *inputs.readyIn + base::Millis(1));
-        request.wakeEvent.reset();
-        request.wakeEvent.waitUntil(base::Clock::now() + recheckAfter);
-    }
-    m_waitingRequests.erase(&request);
-    releasePermit(request);
-    return nullptr;
-}
-
 // Call right before an attempt is sent.
 void Gateway::recordSend(const RequestContext& request, const ReplicaEntry& entry, BootTime attemptBegunAt)
 {
@@ -375,7 +273,7 @@
                 { "trouble", stats.failureScore }, { "events", request.eventSplitter.completeEvents },
                 { "parts", attemptPartsText(request, result) }, { "request", attemptKeyText(request, result) } });
     recordPartEvidence(request, entry, result);
-    wakeWaiting();
+    offerSlots();
     return result;
 }
 
--- a/src/gateway/GatewayStop.cpp
+++ b/src/gateway/GatewayStop.cpp
@@ -9,7 +9,7 @@
 {
     m_isDraining = true;
     m_endsAt = endsAt;
-    wakeWaiting();
+    wakeAllWaiting();
 }
 
 void Gateway::endRequests()
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -58,6 +58,7 @@
     std::string requestKey {};                                // the same when the caller sends the request again
     base::BootTime attemptFirstEventAt {};                    // time of the first event of the present attempt
     bool isAwaitingModel = false;                             // waiting, and no replica has the model loaded
+    bool hasWaitedForSlot = false;                            // has been in the queue for slots
     bool hasCallerLeft = false;                               // the caller has disconnected
     base::Duration totalWait { 0 };                           // time spent waiting for a replica, over all attempts
     base::BootTime firstEventAt {};                           // time at which the first event of a stream was forwarded
--- a/src/gateway/WaitPolicy.cpp
+++ b/src/gateway/WaitPolicy.cpp
@@ -24,6 +24,12 @@
             inputs.readyIn.value_or(base::Duration(0)), options);
     if (inputs.permitIn && *inputs.permitIn > timeToWait)
         return refusal("replica_limited", *inputs.permitIn, options);
+    if (inputs.keysExpireIn && inputs.hasUsableReplica && inputs.slotIn && *inputs.slotIn > *inputs.keysExpireIn)
+        return refusal("configuration_stale", *inputs.slotIn, options);
+    if (inputs.keysExpireIn && !inputs.hasUsableReplica && (!inputs.readyIn || *inputs.readyIn > *inputs.keysExpireIn))
+        return refusal("configuration_stale", inputs.readyIn.value_or(options.modelLoadTimeWithoutHub), options);
+    if (inputs.hasUsableReplica && inputs.slotIn && *inputs.slotIn > timeToWait)
+        return refusal("replicas_full", *inputs.slotIn, options);
     if (!inputs.hasUsableReplica && inputs.readyIn && *inputs.readyIn > timeToWait + options.estimateSlack)
         return refusal("model_comes_too_late", *inputs.readyIn, options);
     if (!inputs.hasUsableReplica && !inputs.readyIn && !inputs.hasHub
--- a/src/gateway/WaitPolicy.h
+++ b/src/gateway/WaitPolicy.h
@@ -9,6 +9,9 @@
 // disconnects. Otherwise it is refused at once with the time at which it could be served, so that the caller can come
 // back then or go elsewhere.
 //
+// The store is silent: the hub loses its lease, no model is ordered, and after some seconds API keys are no longer
+// trusted. A request with a key that can't be served before would be held until then and refused.
+//
 // Pure functions; safe to call from any thread.
 #pragma once
 
@@ -32,10 +35,15 @@
     bool hasHub = false;                    // a hub is known that can order the model
     std::optional<base::Duration> permitIn; // if all replicas limit their rate: time until one may get a request
     std::optional<base::Duration> readyIn;  // estimated time until a replica has the model
+    // For a request with an API key while the proof of the configuration is late: time until keys are no longer
+    // trusted.
+    std::optional<base::Duration> keysExpireIn;
+    std::optional<base::Duration> slotIn; // if all replicas are full: expected time until the request gets a slot
 };
 
 struct WaitOptions {
     base::Millis minServiceTime { 150 };           // minimum time that a replica needs for a request
+    base::Millis firstEventTime { 300 };           // from sending to the first byte while replicas are busy
     base::Millis modelLoadTimeWithoutHub { 4500 }; // until a new hub may issue orders and the model is loaded from disk
     base::Millis minRetryAfter { 200 };            // shortest Retry-After of a refusal
     base::Millis recheckInterval { 150 };          // between two checks while waiting
