--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -138,7 +138,8 @@
         candidate.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
         candidate.reportedWaiting = stats.reportedWaiting;
         candidate.failureScore = decayedFailureScore(stats, now);
-        candidate.isInOtherDataCenter = replica.entry.dataCenter != m_hubSync.options().dataCenter;
+        if (replica.entry.dataCenter != m_hubSync.options().dataCenter)
+            candidate.dataCenterCost = m_options.engineSelection.otherDataCenterCost;
         candidate.hasIdleConnection = m_connectionPool.hasIdle(replica.entry.address, request.progress.retryClass);
         addPace(candidate, stats, selectionOptions, now);
         candidates.push_back(candidate);
--- a/src/gateway/ReplicaSelection.cpp
+++ b/src/gateway/ReplicaSelection.cpp
@@ -80,6 +80,9 @@
         hasHealthy = true;
         if (hasGroups && isForShortPrompts[i] == request.hasLongPrompt)
             continue;
+        // The bonus could not outweigh the cost, and no other replica would get it.
+        if (candidates[i].dataCenterCost > options.affinityBonus)
+            continue;
         uint64_t rank = base::stableHash(candidates[i].id, request.affinityHash);
         if (request.affinityHash && (!preferred || rank > preferredRank)) {
             preferred = i;
@@ -101,8 +104,7 @@
             fixed += options.otherGroupCost;
         if (candidate.isLimited)
             fixed += options.limitedCost;
-        if (candidate.isInOtherDataCenter)
-            fixed += options.otherDataCenterCost;
+        fixed += candidate.dataCenterCost;
         if (!candidate.hasIdleConnection)
             fixed += options.connectionCost;
         double cost = load + fixed + candidate.ownAwaitingFirstByte * options.prefillCost;
--- a/src/gateway/ReplicaSelection.h
+++ b/src/gateway/ReplicaSelection.h
@@ -44,12 +44,12 @@
     double ownAwaitingFirstByte = 0; // this daemon's requests whose first byte has not arrived: in prefill
     double reportedWaiting = 0;      // requests that wait for prefill or are in it, at the last report
     double failureScore = 0;         // recent failures, with exponential decay
-    bool isInOtherDataCenter = false;
-    bool isLimited = false;         // names a limit on its request rate, or is cold
-    bool isCold = false;            // has started recently, or is presumed to have
-    bool hasIdleConnection = false; // the connection pool holds an idle connection to it
-    bool statesPace = false;        // its responses state its pace, see pace/ReplicaPace.h
-    double paceCost = 0;            // pace::paceCost(), if it states one
+    double dataCenterCost = 0;       // by spill::dataCenterCost(); infinite: not to be used
+    bool isLimited = false;          // names a limit on its request rate, or is cold
+    bool isCold = false;             // has started recently, or is presumed to have
+    bool hasIdleConnection = false;  // the connection pool holds an idle connection to it
+    bool statesPace = false;         // its responses state its pace, see pace/ReplicaPace.h
+    double paceCost = 0;             // pace::paceCost(), if it states one
 };
 
 struct SelectionRequest {
@@ -62,7 +62,7 @@
 // Costs and the bonus are in units of load, where 1 means that all slots of a replica are used.
 struct ReplicaSelectionOptions {
     double affinityBonus = 0.25;          // load by which the preferred replica may be busier
-    double otherDataCenterCost = 0.04;    // for a replica in another data centre
+    double otherDataCenterCost = 0.04;    // for a replica in another data centre, if transfers cost nothing
     double connectionCost = 0.02;         // for opening a connection
     double limitedCost = 0.3;             // for a replica that limits its request rate
     double failureCost = 0.5;             // per unit of failureScore
