Plan at the hub what leaves a data centre; gateways follow it

The gateway gives replicaSelect() a cost for each candidate's data centre. Otherwise the hub plans shares by service and model from the members' demand and the directory's slots, and a sync reply carries those of the asking daemon's data centre when they have changed. A daemon follows them for 4 s without the hub and then decides alone.

Requests that run are smoothed like the arrival rates they are compared with.

The simulation moves to lab/, where 'rattanshunt-lab bench spill' shows it beside the fixed cost.

--- a/lab/Bench.h
+++ b/lab/Bench.h
@@ -57,6 +57,9 @@
 // Requests that wait for a model: how long requests wait that are refused in the end.
 BenchTable benchWaiting(uint64_t seed);
 
+// Work sent to other data centres: what is lost, crosses, and displaces others' callers.
+BenchTable benchSpill(uint64_t seed);
+
 // Cost of single operations at the size of the reference fleet, for docs/CAPACITY.md. Real time; the seed is ignored.
 BenchTable benchCapacity(uint64_t seed);
 
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -240,7 +240,7 @@
     static const std::map<std::string, lab::BenchTable (*)(uint64_t)> benches
         = { { "budget", lab::benchBudget }, { "placement", lab::benchPlacement }, { "routing", lab::benchRouting },
               { "once", lab::benchClaims }, { "config", lab::benchConfig }, { "usage", lab::benchUsage },
-              { "waiting", lab::benchWaiting }, { "capacity", lab::benchCapacity } };
+              { "waiting", lab::benchWaiting }, { "spill", lab::benchSpill }, { "capacity", lab::benchCapacity } };
     for (const std::string& name : s_arguments) {
         auto found = benches.find(name);
         if (found == benches.end())
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -152,6 +152,12 @@
             gauge("replicas_limited", static_cast<double>(m_hubSync.limitedReplicaCount()));
             gauge("replicas_cold", static_cast<double>(m_hubSync.coldReplicaCount()));
             gauge("prompt_parts_blocked", static_cast<double>(m_hubSync.blockedPartCount()));
+            gauge("spill_plan_age_seconds", base::secondsOf(now - m_hubSync.spillSync().asOf));
+            for (const auto& [model, shares] : m_hubSync.spillSync().plan) {
+                for (const auto& [dataCenter, share] : m_hubSync.spillShares(model, now))
+                    text += fmt::format("spill_share{{service=\"{}\",model=\"{}\",data_center=\"{}\"}} {}\n",
+                        model.first, model.second, dataCenter, share);
+            }
             gauge("store_reachable", m_hubSync.storeIsReachable() ? 1 : 0);
             return text;
         }
--- a/src/cli/GatewayDaemonOptions.cpp
+++ b/src/cli/GatewayDaemonOptions.cpp
@@ -16,6 +16,14 @@
     constexpr double fullPriorityCores = 0.5;
     constexpr double fullPriorityLinkMbps = 200;
 
+    spill::SpillOptions spillOptions(const settings::GatewaySettings& settings)
+    {
+        spill::SpillOptions options;
+        options.costPerMb = settings.transferCostPerMb;
+        options.delay = settings.transferDelay;
+        return options;
+    }
+
     // Of the hub's read and a member's sync, besides the intervals between them.
     constexpr base::Millis syncTime { 100 };
 
@@ -53,6 +61,7 @@
     options.quotaSlack = settings.quotaSlack;
     options.geos = settings.geos;
     options.coldBound = { settings.coldExcess, settings.coldSlack };
+    options.spill = spillOptions(settings);
     return options;
 }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -118,6 +118,10 @@
     hub::DemandTable table;
     for (auto& [key, rate] : m_arrivalRates)
         table[key].arrivalRate = rate;
+    for (auto& [key, row] : table) {
+        auto found = m_transferSeconds.find({ key.service, key.model });
+        row.transferSeconds = found == m_transferSeconds.end() ? 0 : found->second;
+    }
     for (RequestContext* request : m_requests) {
         if (request->onFirstByte)
             table[demandKey(*request)].awaitingFirstByte += 1;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -28,6 +28,7 @@
 #include "hub/HubSync.h"
 #include "net/Http.h"
 #include "pace/ReplicaPace.h"
+#include "spill/SpillPlan.h"
 
 namespace rattanshunt::gateway {
 
@@ -129,6 +130,11 @@
     void runAttempts(RequestContext&);
     const directory::Replica* awaitReplica(RequestContext&, const std::set<std::string>& tried, Refusal&);
     ReplicaChoice selectReplica(RequestContext&, const std::set<std::string>& tried);
+    void setDataCenterCosts(RequestContext&, std::vector<ReplicaCandidate>&,
+        const std::vector<const directory::Replica*>&, double fixedCost);
+    std::string chooseSpillTarget(const RequestContext&, const std::map<std::string, spill::DataCenterKnowledge>&);
+    double expectedTransferSeconds(const RequestContext&) const;
+    void recordTransfer(const RequestContext&, const ReplicaEntry&, const AttemptResult&);
     std::optional<base::BootTime> estimatedReadyAt(const RequestContext&) const;
     AttemptResult runAttempt(RequestContext&, const directory::Replica&);
     std::optional<Refusal> partRefusal(RequestContext&);
@@ -178,6 +184,9 @@
     std::map<hub::DemandKey, double> m_arrivalRates;            // arrivals per second, as of m_arrivalRatesAt
     base::BootTime m_arrivalRatesAt {};
     std::map<hub::ModelKey, pace::UsualTimes> m_usualEventTimes; // by service and model
+    std::map<hub::ModelKey, spill::SpillCredits> m_spillCredits;
+    std::map<hub::ModelKey, double> m_transferSeconds; // mean cost of serving a request in another data centre
+    std::map<std::string, double> m_responseBytes;     // mean of a response, by route
     std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
     std::map<std::string, UsualTime> m_usualTimes; // by route, from sending a request to the end of its response
     base::BootTime m_endsAt = base::BootTime::max();
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -138,8 +138,6 @@
         candidate.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
         candidate.reportedWaiting = stats.reportedWaiting;
         candidate.failureScore = decayedFailureScore(stats, now);
-        if (replica.entry.dataCenter != m_hubSync.options().dataCenter)
-            candidate.dataCenterCost = m_options.engineSelection.otherDataCenterCost;
         candidate.hasIdleConnection = m_connectionPool.hasIdle(replica.entry.address, request.progress.retryClass);
         addPace(candidate, stats, selectionOptions, now);
         candidates.push_back(candidate);
@@ -149,6 +147,7 @@
     selection.hasLongPrompt = request.head.promptTokens >= m_options.longPromptTokens;
     selection.modelHash = isEngine ? base::stableHash(request.head.model) | 1 : 0;
     choice.hasVersion = hasVersion && (choice.hasUsable || !isModelElsewhere);
+    setDataCenterCosts(request, candidates, replicas, selectionOptions.otherDataCenterCost);
     auto chosen = replicaSelect(candidates, selection, selectionOptions);
     if (chosen) {
         choice.replica = replicas[*chosen];
@@ -237,6 +236,7 @@
             { { "replica", entry.id }, { "kind", "request" }, { "id", request.head.id } });
     uint64_t eventsBefore = request.eventSplitter.completeEvents;
     AttemptResult result = attemptRun(request, entry, m_codec, m_connectionPool, m_responseMemory);
+    recordTransfer(request, entry, result);
     if (!attemptIsObsolete(result))
         attempts::progressCountAttempt(request.progress, result.outcome);
     request.findSendObstacle = nullptr;
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -92,6 +92,7 @@
             HttpCallError error = request.connection->readSome(piece, isEnd, steadyDeadline(request));
             if (error != HttpCallError::None)
                 return error;
+            request.attemptBodyBytes += piece.size();
             if (!memory.append(body, piece)) {
                 base::counterAdd("replica_answers_too_large_total");
                 return HttpCallError::Malformed;
@@ -113,6 +114,7 @@
                 return makeCallResult(error);
             if (request.onFirstByte)
                 std::exchange(request.onFirstByte, nullptr)();
+            request.attemptBodyBytes += bytes.size();
             std::string complete = eventsSplit(request.eventSplitter, bytes);
             if (request.eventSplitter.partial.size() > maxEventBytes) {
                 base::counterAdd("replica_answers_too_large_total");
@@ -252,6 +254,7 @@
     ConnectionUse use;
     use.wasReused = connection->isConnected();
     request.connection = connection.get();
+    request.attemptBodyBytes = 0;
     AttemptResult result;
     base::Millis timeLeft = requestTimeLeft(request, BootClock::now());
     if (!use.wasReused
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -71,6 +71,8 @@
     std::function<void(const directory::ReplicaStatement&)> onStatement {}; // called with what each response says
     std::function<const char*()> findSendObstacle {}; // called right before an attempt is sent; null: there is none
     std::optional<ReplicaPermit> permit {};           // for the next attempt
+    std::optional<std::string> spillTarget {};        // data centre that it is sent away to, once decided; empty: none
+    uint64_t attemptBodyBytes = 0;                    // of the present attempt's response, as received
     std::function<void()> onSettled {};               // called when the answer to an attempt has settled, then null
     net::Event wakeEvent {};                          // set when something that the request waits for may have changed
 };
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -139,6 +139,7 @@
             readStore();
             storeMemberCount();
             updateReachableMemberFraction();
+            updateSpillPlan(BootClock::now());
             advanceParts(BootClock::now());
             storeParts();
             storeStreams();
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -58,6 +58,7 @@
 #include "hub/LimitSync.h"
 #include "hub/OriginWriter.h"
 #include "hub/PartSync.h"
+#include "hub/SpillSync.h"
 #include "hub/StreamSync.h"
 #include "net/PeerNetwork.h"
 #include "quota/AccountQuota.h"
@@ -187,6 +188,10 @@
     const directory::ReplicaNotices& notices() const { return m_notices; } // what replicas told this daemon
     size_t limitedReplicaCount() const { return m_limits.ledger.limits.size(); }
 
+    // The fractions of a group's requests that this daemon sends to other data centres, by data centre.
+    std::map<std::string, double> spillShares(const ModelKey&, base::BootTime now) const;
+    const SpillSync& spillSync() const { return m_spill; }
+
     const prompts::PartView& partView() const { return m_parts.view; }
     const prompts::SettledParts& settledParts() const { return m_parts.ledger.settled; } // by this daemon
     size_t blockedPartCount() const;                                                     // without those on probation
@@ -279,6 +284,14 @@
     void applyEvacuations(const std::set<std::string>& listed, base::BootTime asOf);
     void applyEvacuationsReply(const nlohmann::json& body, base::BootTime asOf);
 
+    // -- work that is sent to other data centres --
+    std::map<ModelKey, spill::WorkGroup> collectWorkGroups(base::BootTime now);
+    std::map<ModelKey, std::map<std::string, double>> slotsByModel(base::BootTime now) const;
+    void updateSpillPlan(base::BootTime now);
+    void addSpillToRequest(nlohmann::json& body) const;
+    void addSpillToReply(const nlohmann::json& asked, nlohmann::json& reply, base::BootTime now);
+    void applySpillReply(const nlohmann::json& body, base::BootTime requestedAt);
+
     // -- versions that began streams --
     bool versionsAreMixed(const std::string& service) const;
     bool anyVersionsAreMixed() const;
@@ -363,6 +376,7 @@
     LimitSync m_limits;
     ColdSync m_cold;
     StreamSync m_streams;
+    SpillSync m_spill;
     OriginWriter m_originWriter;
 };
 
--- a/src/hub/HubSyncData.h
+++ b/src/hub/HubSyncData.h
@@ -11,6 +11,7 @@
 #include "base/Time.h"
 #include "directory/DirectoryAge.h"
 #include "limits/ColdReplicas.h"
+#include "spill/SpillPlan.h"
 
 namespace rattanshunt::hub {
 
@@ -34,6 +35,7 @@
     base::Millis entryInterval { 1200 };        // between two writes of a replica's entry
     directory::DirectoryAgeLimits directoryAge; // of the knowledge that requests are sent on
     double quotaSlack = 0;                      // tokens that the fleet may grant beyond an account's burst
+    spill::SpillOptions spill;                  // of work to other data centres
     base::Seconds quotaWindow { 8 };            // in which an account's limit is measured
     limits::ColdBound coldBound;                // on the requests that a cold replica gets in a second
     std::map<std::string, std::string> geos;    // by data centre
@@ -46,6 +48,7 @@
     double awaitingFirstByte = 0; // requests at a replica that has not begun to answer them, now
     double running = 0;           // requests at a replica now
     double arrivalRate = 0;       // requests per second, smoothed
+    double transferSeconds = 0;   // mean cost of serving a request in another data centre, by spill::transferSeconds()
 };
 
 struct DemandKey {
@@ -74,6 +77,7 @@
 
 struct HubMember {
     base::Address address;
+    std::string dataCenter; // empty: not stated
     base::BootTime lastSeenAt {};
     DemandTable demand;
 };
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -90,6 +90,8 @@
     m_loop.spawn([this] { renewLoop(); });
     takeOverParts(BootClock::now());
     m_limits.schedules.clear();
+    m_spill.demand.clear();
+    m_spill.running.clear();
     m_streams.storedAt = {};
 
     auto orderer = m_kv.get(ordererKey);
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -92,8 +92,11 @@
     };
     if (body.contains("rates")) {
         member.demand.clear();
-        for (const Json& row : body.at("rates"))
-            member.demand[keyOf(row)].arrivalRate = row.at(3).get<double>();
+        for (const Json& row : body.at("rates")) {
+            Demand& demand = member.demand[keyOf(row)];
+            demand.arrivalRate = row.at(3).get<double>();
+            demand.transferSeconds = row.size() > 4 ? row.at(4).get<double>() : 0;
+        }
     }
     for (auto& [key, demand] : member.demand)
         demand.waiting = demand.waitingWeightSum = demand.awaitingFirstByte = demand.running = 0;
@@ -116,6 +119,7 @@
         HubMember& member = m_members[from];
         if (address)
             member.address = *address;
+        member.dataCenter = body.value("data_center", "");
         applyMemberDemand(member, body, now);
         applyMemberParts(body, now);
         applyMemberLimits(from, body, now);
@@ -173,6 +177,7 @@
     addPartsToReply(asked, reply, now);
     addLimitsToReply(asked, reply);
     addColdToReply(asked, reply, now);
+    addSpillToReply(asked, reply, now);
     reply["age_us"] = ageMicros(now, m_freshAsOf);
     reply["evacuated"] = m_evacuations.dataCenters;
     gateway::ConfigurationStamp askedStamp { asked.value("configuration_version", int64_t(0)),
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -35,6 +35,8 @@
                 row.awaitingFirstByte, row.running });
         if (row.arrivalRate > 0)
             rates.push_back({ key.service, key.model, key.adapter, row.arrivalRate });
+        if (row.arrivalRate > 0 && spill::spillIsOn(m_options.spill))
+            rates.back().push_back(row.transferSeconds);
     }
     if (!waiting.empty())
         body["waiting"] = std::move(waiting);
@@ -60,6 +62,7 @@
         sentSequence = addPartsToRequest(body, requestedAt);
         sentLimitSequence = addLimitsToRequest(body, requestedAt);
         sentStreamSequence = addStreamsToRequest(body);
+        addSpillToRequest(body);
         Json unused = Json::object();
         for (auto& [account, share] : m_localQuota.shares) {
             // Grants that were not spent since the last sync are returned.
@@ -83,8 +86,10 @@
         applySyncReply(result.body, requestedAt, isHub);
         applyPartsReply(result.body, requestedAt, sentSequence, isHub);
         applyLimitsReply(result.body, requestedAt, sentLimitSequence, isHub);
-        if (isHub)
+        if (isHub) {
             recordStreamsTold(result.body, sentStreamSequence);
+            applySpillReply(result.body, requestedAt);
+        }
     } catch (const std::exception& error) {
         base::logEvent(LogLevel::Warning, "peer.answer_unreadable",
             { { "peer", base::formatAddress(address) }, { "why", error.what() } });
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -29,7 +29,8 @@
     double linkMbps = 1000;      // bandwidth of this instance's network link, in Mbit/s
 
     // Read again with the file. Those that only HubSync uses (maxReplicaRemovalDelay, replicaEntryInterval,
-    // orderHandoverDelay, quotaWindow, quotaSlack, coldExcess, coldSlack, geos, and maxConfigurationDelay for its
+    // orderHandoverDelay, quotaWindow, quotaSlack, coldExcess, coldSlack, geos, transferCostPerMb,
+    // transferDelay, and maxConfigurationDelay for its
     // synchronization interval) nevertheless keep their value.
     base::LogLevel logLevel = base::LogLevel::Info; // lowest level that is logged
     base::Millis maxConfigurationDelay { 2000 };    // until a change of the configuration must be in force
@@ -46,6 +47,9 @@
     double coldExcess = 1.5;                        // times its rate that a cold replica may get in a second
     double coldSlack = 5;                           // requests beyond that
     std::map<std::string, std::string> geos;        // by data centre
+    // Both 0: replicas of other data centres have a fixed cost, see spill/SpillPlan.h.
+    double transferCostPerMb = 0;     // seconds of a caller's time that a megabyte between data centres costs
+    base::Millis transferDelay { 0 }; // that a request takes longer in another data centre
 };
 
 // The path in RATTANSHUNT_NODE_FILE; nothing if the variable is not set.
--- a/src/spill/SpillPlan.cpp
+++ b/src/spill/SpillPlan.cpp
@@ -80,6 +80,7 @@
         size_t count = states.size();
         Moves moves(count, std::vector<double>(count, 0));
         std::vector<double> served; // demand that each data centre's replicas get
+        served.reserve(count);
         for (const DataCenterState& state : states)
             served.push_back(state.demand);
         auto loss = [&](size_t i, double demand) {
@@ -195,7 +196,7 @@
 {
     std::erase_if(shares, [&](const auto& item) {
         auto found = known.find(item.first);
-        return found != known.end() && found->second.meanFailures >= options.maxMeanFailures;
+        return found == known.end() || found->second.meanFailures >= options.maxMeanFailures;
     });
     return shares;
 }
--- a/src/spill/SpillPlan.h
+++ b/src/spill/SpillPlan.h
@@ -104,7 +104,8 @@
     double meanFailures = 0; // mean failure score
 };
 
-// The shares without the data centres whose replicas fail for this daemon, as when a link is cut.
+// The shares without the data centres that have no candidate for the request, or whose replicas fail for this daemon,
+// as when a link is cut.
 std::map<std::string, double> reachableShares(
     std::map<std::string, double> shares, const std::map<std::string, DataCenterKnowledge>&, const SpillOptions&);
 
