rattanshunt explain where: where a request would go, and why

Asks a running gateway at its metrics address (POST /explain/where). The gateway's selection runs on a request that is not sent: what it changes is restored, and a restarted replica's idle connections stay. replicaSelect() can return the terms of each candidate's cost. A candidate whose data centre must not be used no longer counts as one that is healthy: the own replicas would have been left out for it.

--- a/src/cli/AdminClient.cpp
+++ b/src/cli/AdminClient.cpp
@@ -1,5 +1,6 @@
 #include "cli/AdminClient.h"
 #include "base/Json.h"
+#include "gateway/ExplainWhere.h"
 #include "reports/RequestTimeline.h"
 
 #include <fstream>
@@ -20,6 +21,7 @@
 DEFINE_int64(
     resource_version, -1, "expected current version of the resource, for apply and delete; 0: it must not exist");
 DEFINE_string(format, "text", "of the report: text, json or html");
+DEFINE_bool(json, false, "print JSON, for explain where");
 DEFINE_string(account, "", "client account of a new key");
 
 namespace rattanshunt::cli {
@@ -159,6 +161,26 @@
         return 0;
     }
 
+    // Asks a gateway, at its metrics address, where a request would go.
+    int explainWhere(net::Loop& loop, const base::Address& address, const std::vector<std::string>& fields)
+    {
+        std::string fault;
+        auto question = gateway::whereQuestionFromArguments(fields, fault);
+        if (!question)
+            return usage(fault);
+        auto connection = net::HttpConnection::create(loop, address);
+        net::HttpResult result = net::httpCall(
+            *connection, makeRequest("POST", "/explain/where", question->dump()), base::Clock::now() + commandTimeout);
+        if (result.error != net::HttpCallError::None || result.response.status != 200) {
+            std::cerr << fmt::format("{}: {} {}\n", base::formatAddress(address), net::httpCallErrorName(result.error),
+                result.response.body);
+            return exitRefused;
+        }
+        json answer = base::jsonTryParse(result.response.body);
+        std::cout << (FLAGS_json ? answer.dump(2) + "\n" : gateway::whereText(answer));
+        return exitDone;
+    }
+
     int dispatch(net::Loop& loop, const base::Address& address, const std::vector<std::string>& arguments)
     {
         const std::string& command = arguments[0];
@@ -186,6 +208,8 @@
             return send(loop, address, makeRequest("GET", "/api/v1/report?format=" + FLAGS_format));
         if (command == "explain" && arguments.size() >= 4 && arguments[1] == "request")
             return explainRequest(arguments[2], { arguments.begin() + 3, arguments.end() });
+        if (command == "explain" && arguments.size() >= 2 && arguments[1] == "where")
+            return explainWhere(loop, address, { arguments.begin() + 2, arguments.end() });
         if (command == "explain" && arguments.size() == 3)
             return send(
                 loop, address, makeRequest("GET", fmt::format("/api/v1/explain/{}/{}", arguments[1], arguments[2])));
@@ -211,6 +235,8 @@
   rattanshunt report [--format F]         service-level burn: text, json or html
   rattanshunt explain KIND NAME           model, account, instance or reason
   rattanshunt explain request ID FILE...  what happened to one request, from the log files of gateways
+  rattanshunt explain where FIELD=VALUE...  where a request would go; --admin is a gateway's metrics address. Fields: host,
+                                          path, account, model, adapter, id, parts, output_tokens, body_bytes
   rattanshunt state                       the daemon's own state
   rattanshunt counters
   rattanshunt help | version
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -8,6 +8,7 @@
 
 #include "base/Counters.h"
 #include "base/Histograms.h"
+#include "base/Json.h"
 #include "base/Log.h"
 #include "base/LogOutput.h"
 #include "cli/GatewayDaemonOptions.h"
@@ -134,12 +135,27 @@
         bool serveMetrics(std::string& error)
         {
             net::HttpServerEvents events;
-            events.onRequest = [this](net::HttpExchange& exchange) { exchange.respond({ 200, {}, metricsText() }); };
+            events.onRequest = [this](net::HttpExchange& exchange) {
+                exchange.respond(exchange.request().target == "/explain/where"
+                        ? explainResponse(exchange)
+                        : net::HttpResponse { 200, {}, metricsText() });
+            };
             events.onMalformed = [](int status, std::string_view) { return net::HttpResponse { status, {}, "" }; };
             m_metrics = net::httpServe(m_loop, m_settings.metricsListen, {}, std::move(events), error);
             return m_metrics.has_value();
         }
 
+        net::HttpResponse explainResponse(net::HttpExchange& exchange)
+        {
+            try {
+                gateway::WhereQuestion question = gateway::whereQuestionRead(base::jsonParse(exchange.request().body));
+                return { 200, { { "Content-Type", "application/json" } },
+                    m_gateway.explainWhere(exchange, question).dump() + "\n" };
+            } catch (const std::exception& error) {
+                return { 400, {}, std::string(error.what()) + "\n" };
+            }
+        }
+
         std::string metricsText() const
         {
             BootTime now = BootClock::now();
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "admission/WaitingQueue.h"
+#include "gateway/ExplainWhere.h"
 #include "gateway/OwnLoad.h"
 #include "gateway/ReplicaConnectionPool.h"
 #include "gateway/ReplicaSelection.h"
@@ -79,6 +80,8 @@
     void reconfigure(const GatewayOptions&); // applies to work that begins after the call
 
     // -- queries --
+    // Where a request would go now, and why. Sends nothing, takes no quota and changes nothing.
+    nlohmann::json explainWhere(net::HttpExchange&, const WhereQuestion&);
     hub::DemandTable demand();                                  // this daemon's current demand
     base::Address address() const { return m_server->address; } // as bound; valid after listen()
     size_t requestsInFlight() const { return m_requests.size(); }
@@ -153,6 +156,8 @@
     directory::ReplicaLife lifeOf(const RequestContext&, const directory::Replica&, base::BootTime now) const;
     void acquirePermit(RequestContext&, const directory::Replica&, bool isCold);
     void releasePermit(RequestContext&);
+    nlohmann::json explainSelection(RequestContext&);
+    const char* exclusionReason(const RequestContext&, const directory::Replica&, base::BootTime now) const;
     const char* findSendObstacle(RequestContext&, const ReplicaEntry&);
     void recordSend(const RequestContext&, const ReplicaEntry&, base::BootTime attemptBegunAt);
     double decayedFailureScore(ReplicaStats&, base::BootTime now) const;
@@ -192,6 +197,7 @@
     base::BootTime m_endsAt = base::BootTime::max();
     bool m_isDraining = false;
     bool m_isEnding = false;
+    bool m_isExplaining = false; // a selection has no effects
 };
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -44,7 +44,8 @@
         restarted.ownLoad = std::move(stats.ownLoad);
         restarted.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
         stats = std::move(restarted);
-        m_connectionPool.closeIdle(replica.entry.address);
+        if (!m_isExplaining)
+            m_connectionPool.closeIdle(replica.entry.address);
     }
     if (replica.hasReport)
         recordLoad(stats, replica.report.running, replica.report.waiting, replica.reportRequestedAt);
@@ -148,7 +149,8 @@
     selection.modelHash = isEngine ? base::stableHash(request.head.model) | 1 : 0;
     choice.hasVersion = hasVersion && (choice.hasUsable || !isModelElsewhere);
     setDataCenterCosts(request, candidates, replicas, selectionOptions.otherDataCenterCost);
-    auto chosen = replicaSelect(candidates, selection, selectionOptions);
+    auto chosen
+        = replicaSelect(candidates, selection, selectionOptions, request.trace ? &request.trace->terms : nullptr);
     if (chosen) {
         choice.replica = replicas[*chosen];
         choice.needsPermit = candidates[*chosen].isLimited;
@@ -156,6 +158,11 @@
     }
     if (hasUnlimited)
         choice.permitAt.reset();
+    if (request.trace) {
+        for (const directory::Replica* replica : replicas)
+            request.trace->dataCenters.push_back(replica->entry.dataCenter);
+        request.trace->candidates = std::move(candidates);
+    }
     return choice;
 }
 
--- a/src/gateway/GatewaySpill.cpp
+++ b/src/gateway/GatewaySpill.cpp
@@ -36,8 +36,9 @@
 double Gateway::expectedTransferSeconds(const RequestContext& request) const
 {
     auto response = m_responseBytes.find(request.route->name);
-    double bytes = headBytes + static_cast<double>(request.exchange.request().body.size())
-        + (response == m_responseBytes.end() ? 0 : response->second);
+    size_t bodyBytes = request.trace ? request.trace->bodyBytes : request.exchange.request().body.size();
+    double bytes
+        = headBytes + static_cast<double>(bodyBytes) + (response == m_responseBytes.end() ? 0 : response->second);
     return spill::transferSeconds({ bytes / 1e6, sharedTokens(request.head) }, m_hubSync.options().spill);
 }
 
@@ -81,6 +82,11 @@
     mean += meanWeight * (cost - mean);
     auto shares
         = spill::reachableShares(m_hubSync.spillShares(model, BootClock::now()), known, m_hubSync.options().spill);
+    if (request.trace) {
+        request.trace->spillShares = shares;
+        request.trace->transferSeconds = cost;
+        request.trace->meanTransferSeconds = mean;
+    }
     double draw = static_cast<double>(base::stableHash(request.head.id) % 1000) / 1000;
     return spill::spillTarget(m_spillCredits[model], shares, mean > 0 ? cost / mean : 1, draw);
 }
--- a/src/gateway/ReplicaSelection.cpp
+++ b/src/gateway/ReplicaSelection.cpp
@@ -60,7 +60,7 @@
 }
 
 std::optional<size_t> replicaSelect(const std::vector<ReplicaCandidate>& candidates, const SelectionRequest& request,
-    const ReplicaSelectionOptions& options)
+    const ReplicaSelectionOptions& options, std::vector<CostTerms>* terms)
 {
     bool hasGroups = request.modelHash && candidates.size() >= options.minReplicasForGroups;
     std::vector<bool> isForShortPrompts;
@@ -75,7 +75,7 @@
     uint64_t preferredRank = 0;
     bool hasHealthy = false;
     for (size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].failureScore >= options.maxFailureScore)
+        if (candidates[i].failureScore >= options.maxFailureScore || std::isinf(candidates[i].dataCenterCost))
             continue;
         hasHealthy = true;
         if (hasGroups && isForShortPrompts[i] == request.hasLongPrompt)
@@ -92,6 +92,8 @@
     std::optional<size_t> best;
     double bestCost = std::numeric_limits<double>::max();
     std::vector<ReplicaCost> costs(candidates.size());
+    if (terms)
+        terms->assign(candidates.size(), {});
     for (size_t i = 0; i < candidates.size(); ++i) {
         const ReplicaCandidate& candidate = candidates[i];
         if (hasHealthy && candidate.failureScore >= options.maxFailureScore)
@@ -99,24 +101,37 @@
         double load = replicaLoad(candidate, options);
         if (load >= options.maxLoad)
             continue;
-        double fixed = candidate.failureScore * options.failureCost;
+        double cost = 0;
+        double fixed = 0;
+        auto add = [&](const char* term, double value) {
+            cost += value;
+            if (terms)
+                (*terms)[i].emplace_back(term, value);
+        };
+        auto addFixed = [&](const char* term, double value) {
+            fixed += value;
+            add(term, value);
+        };
+        add("load", load);
+        addFixed("failures", candidate.failureScore * options.failureCost);
+        add("prefill", candidate.ownAwaitingFirstByte * options.prefillCost);
+        add("waiting",
+            candidate.reportedWaiting * options.waitingCost
+                * std::exp2(-base::secondsOf(candidate.reportAge) / base::secondsOf(options.waitingHalfLife)));
+        if (candidate.statesPace)
+            add("pace", candidate.paceCost);
         if (hasGroups && isForShortPrompts[i] == request.hasLongPrompt)
-            fixed += options.otherGroupCost;
+            addFixed("prompt_length", options.otherGroupCost);
         if (candidate.isLimited)
-            fixed += options.limitedCost;
-        fixed += candidate.dataCenterCost;
+            addFixed("limited", options.limitedCost);
+        addFixed("data_center", candidate.dataCenterCost);
         if (!candidate.hasIdleConnection)
-            fixed += options.connectionCost;
-        double cost = load + fixed + candidate.ownAwaitingFirstByte * options.prefillCost;
-        cost += candidate.reportedWaiting * options.waitingCost
-            * std::exp2(-base::secondsOf(candidate.reportAge) / base::secondsOf(options.waitingHalfLife));
-        if (candidate.statesPace)
-            cost += candidate.paceCost;
+            addFixed("connection", options.connectionCost);
         costs[i] = { fixed, cost };
         if (preferred && *preferred == i)
-            cost -= options.affinityBonus;
+            add("prefix", -options.affinityBonus);
         // Breaks ties differently for each request.
-        cost += 1e-4 * static_cast<double>(base::stableHash(candidate.id, request.requestHash) % 1024) / 1024;
+        add("tie", 1e-4 * static_cast<double>(base::stableHash(candidate.id, request.requestHash) % 1024) / 1024);
         if (cost < bestCost) {
             bestCost = cost;
             best = i;
--- a/src/gateway/ReplicaSelection.h
+++ b/src/gateway/ReplicaSelection.h
@@ -1,7 +1,7 @@
 // Selects the replica that a request is sent to.
 //
 // Contents
-//   [1] Data            ReplicaCandidate, SelectionRequest, ReplicaSelectionOptions
+//   [1] Data            ReplicaCandidate, SelectionRequest, ReplicaSelectionOptions, CostTerms
 //   [2] Decisions       replicasForShortPrompts(), replicaLoad(), replicaSelect()
 //
 // The prefill of a long prompt delays every stream of the same replica. Where a model has many replicas, some of them
@@ -26,6 +26,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/Time.h"
@@ -87,8 +88,11 @@
 // Estimated requests per slot.
 double replicaLoad(const ReplicaCandidate&, const ReplicaSelectionOptions&);
 
-// Index of the candidate to use; nothing if all are full.
-std::optional<size_t> replicaSelect(
-    const std::vector<ReplicaCandidate>&, const SelectionRequest&, const ReplicaSelectionOptions&);
+// The parts of a candidate's cost, by name. Empty: it is full, or fails while others do not.
+using CostTerms = std::vector<std::pair<const char*, double>>;
+
+// Index of the candidate to use; nothing if all are full. `terms`, if given, gets those of each candidate.
+std::optional<size_t> replicaSelect(const std::vector<ReplicaCandidate>&, const SelectionRequest&,
+    const ReplicaSelectionOptions&, std::vector<CostTerms>* terms = nullptr);
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -1,7 +1,7 @@
 // State of one request in the gateway, and its attempts at replicas.
 //
 // Contents
-//   [1] Data            ReplicaPermit, RequestContext, AttemptResult
+//   [1] Data            ReplicaPermit, SelectionTrace, RequestContext, AttemptResult
 //   [2] Attempts        attemptRun()
 //
 // Call from the owning thread only; attemptRun() suspends the calling fiber.
@@ -12,6 +12,7 @@
 
 #include "attempts/RetryPolicy.h"
 #include "gateway/ReplicaConnectionPool.h"
+#include "gateway/ReplicaSelection.h"
 #include "gateway/ResponseMemory.h"
 #include "gateway/ServerSentEvents.h"
 #include "gateway/WireCodec.h"
@@ -34,6 +35,17 @@
     bool isFromHub = false; // to be returned there if it is not used
 };
 
+// What a selection was decided on, for explaining it.
+struct SelectionTrace {
+    size_t bodyBytes = 0; // of the request in question
+    std::vector<ReplicaCandidate> candidates;
+    std::vector<CostTerms> terms;              // of each candidate
+    std::vector<std::string> dataCenters;      // the same
+    std::map<std::string, double> spillShares; // that the request is drawn by
+    double transferSeconds = 0;                // cost of serving the request in another data centre
+    double meanTransferSeconds = 0;            // of the requests for its service and model
+};
+
 struct RequestContext {
     net::HttpExchange& exchange;
     RequestHead head;
@@ -72,6 +84,7 @@
     std::function<const char*()> findSendObstacle {}; // called right before an attempt is sent; null: there is none
     std::optional<ReplicaPermit> permit {};           // for the next attempt
     std::optional<std::string> spillTarget {};        // data centre that it is sent away to, once decided; empty: none
+    SelectionTrace* trace = nullptr;                  // null, unless the request is only being explained
     uint64_t attemptBodyBytes = 0;                    // of the present attempt's response, as received
     std::function<void()> onSettled {};               // called when the answer to an attempt has settled, then null
     net::Event wakeEvent {};                          // set when something that the request waits for may have changed
