Reserve tokens of accounts that are short, and hold requests for them

Cause: tokens were first come, first served, and Retry-After was tokens / rate, which says nothing about when there are tokens.

Change: quota/TokenReservations.h schedules the refill of a short account. Requests that can wait are granted tokens from a time on and held by their daemon, others are refused with a time at which tokens are reserved for their request key, or without one. Routes and size classes share the refill, corrected by their served shares. A daemon that loses the hub while it holds a request uses its fallback share. Accounts that are not short are granted as before. Quota state and messages moved to hub/QuotaSync.h and hub/HubSyncQuota.cpp.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -227,17 +227,6 @@
     if (account->priority >= 0)
         request.priority = account->priority;
     request.tokenCost = account->isTokenMetered ? request.head.totalTokens.value_or(account->defaultTokens) : 1;
-    if (!m_hubSync.quotaTake(*account, request.tokenCost)) {
-        base::logEvent(LogLevel::Info, "quota.refused",
-            { { "id", request.head.id }, { "account", account->name }, { "tokens", request.tokenCost },
-                { "rate", account->rate }, { "burst", account->burst },
-                { "decided_by", m_hubSync.hasHub() ? "hub" : "own_share" } });
-        base::Millis wait = account->rate > 0
-            ? base::Millis(static_cast<int64_t>(1000 * request.tokenCost / account->rate))
-            : m_options.defaultRetryAfter;
-        refuse(request, 429, "over_usage_cap", std::max(wait, m_options.defaultRetryAfter));
-        return false;
-    }
     return true;
 }
 
@@ -260,6 +249,8 @@
         return false;
     request.homes = homesOf(request);
     request.requestKey = requestKeyOf(request);
+    if (!takeTokens(request))
+        return false;
     if (!findStreamVersion(request)) {
         if (!request.accountName.empty())
             m_hubSync.quotaReturn(request.accountName, request.tokenCost);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -6,7 +6,7 @@
 //   [2] Gateway
 //
 // Decisions are free functions in files of their own: attempts/RetryPolicy.h (retries and refusals),
-// ReplicaSelection.h, RetryBudget.h, WaitPolicy.h, quota/AccountQuota.h, limits/ReplicaLimits.h,
+// ReplicaSelection.h, RetryBudget.h, WaitPolicy.h, quota/TokenReservations.h, limits/ReplicaLimits.h,
 // streams/StreamOrigins.h. Gateway carries them out and logs them.
 //
 // Call from the owning thread only.
@@ -42,6 +42,7 @@
     base::Millis defaultRetryAfter { 300 };             // Retry-After of a refusal without an estimate
     double longPromptTokens = 2500;                     // prompts of this length delay other requests during prefill
     base::Millis maxDrainWait { 1000 };                 // for a replica, while the process is draining
+    size_t maxHeldForTokens = 400;                      // requests that wait for tokens of their account
     base::Millis minPermitPause { 50 };                 // between two requests for a permit to one replica
     base::Millis coldPermitPause { 1 };                 // the same to cold replicas of a service, times the daemons
     base::Seconds rateTimeConstant { 10 };              // for smoothing arrival rates
@@ -128,6 +129,9 @@
     bool admit(RequestContext&);
     bool findRoute(RequestContext&);
     bool findAccount(RequestContext&);
+    bool takeTokens(RequestContext&);
+    quota::TokenAsk tokenAskOf(const RequestContext&) const;
+    void refuseTokens(RequestContext&, const Account&, const hub::QuotaAnswer&);
     bool findStreamVersion(RequestContext&);
     void recordStreamVersion(RequestContext&, const ReplicaEntry&);
     void runAttempts(RequestContext&);
@@ -183,6 +187,7 @@
     std::set<RequestContext*> m_requests;
     std::set<RequestContext*> m_waitingRequests;                // for a slot, a permit or newer knowledge of replicas
     admission::WaitingQueue<RequestContext> m_waitingQueue;     // those that wait for a slot
+    size_t m_requestsHeldForTokens = 0;
     std::map<std::string, ReplicaStats> m_replicaStats;         // by replica id
     std::map<std::string, RetryBudget> m_retryBudgets;          // by service name
     std::map<std::string, base::BootTime> m_noColdPermitBefore; // by service name; one was denied
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -140,6 +140,7 @@
             storeMemberCount();
             updateReachableMemberFraction();
             updateSpillPlan(BootClock::now());
+            settleReservations();
             advanceParts(BootClock::now());
             storeParts();
             storeStreams();
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -58,10 +58,10 @@
 #include "hub/LimitSync.h"
 #include "hub/OriginWriter.h"
 #include "hub/PartSync.h"
+#include "hub/QuotaSync.h"
 #include "hub/SpillSync.h"
 #include "hub/StreamSync.h"
 #include "net/PeerNetwork.h"
-#include "quota/AccountQuota.h"
 
 namespace rattanshunt::hub {
 
@@ -100,9 +100,17 @@
     // store if the knowledge needs it; subscribers are called at the end of that, also if it failed. Does not suspend.
     bool directoryIsTooOld(base::Millis maxAge);
 
-    // Takes `tokens` from an account's quota; false if it does not allow them. Suspends for a call to the hub if this
-    // daemon's grant does not cover them.
-    bool quotaTake(const gateway::Account&, double tokens);
+    // Asks for tokens of an account. Suspends for a call to the hub if this daemon's grant does not cover them.
+    QuotaAnswer quotaTake(const gateway::Account&, const quota::TokenAsk&);
+
+    // Call when the time of tokens that were granted later has come. False if they cannot be used any more and this
+    // daemon's own share does not cover them. Does not suspend.
+    bool quotaUseReserved(const gateway::Account&, double tokens, const QuotaAnswer&);
+
+    // Gives up tokens that were granted later, before their time. Does not suspend.
+    void quotaRelease(const std::string& account, double tokens, const QuotaAnswer&);
+
+    // Returns tokens that were granted and not used. Does not suspend.
     void quotaReturn(const std::string& account, double tokens);
 
     // Tells the hub of an attempt that ended with its replica, and of parts on which an answer has settled. Neither
@@ -306,8 +314,15 @@
     void refreshOrigins();
     void storeStreams();
 
+    // -- account quotas --
     quota::AccountLimit limitOf(const gateway::Account&) const;
     void chargeUngranted(const std::string& account, double tokens);
+    void recordReservations(const std::string& account, base::BootTime now);
+    void settleReservations();
+    quota::TokenAnswer grantTokens(const gateway::Account&, const quota::TokenAsk&, base::BootTime now);
+    void applyMemberQuota(const nlohmann::json& body, base::BootTime now);
+    std::map<std::string, double> addQuotaToRequest(nlohmann::json& body);
+    bool spendAlone(const gateway::Account&, double tokens);
 
     // -- a member --
     bool syncWith(const base::Address&, bool isHub);
@@ -370,8 +385,7 @@
     std::map<std::string, HubMember> m_members;          // hub only
     std::map<ModelKey, base::BootTime> m_readyEstimates; // at a member: as sent by the hub
     base::BootTime m_ratesSentAt {};
-    quota::HubQuota m_hubQuota; // hub only
-    quota::LocalQuota m_localQuota;
+    QuotaSync m_quota;
     PartSync m_parts;
     LimitSync m_limits;
     ColdSync m_cold;
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -79,13 +79,15 @@
 {
     m_term = termBegin(lease, revision, requestedAt, BootClock::now(), m_options.leaseTtl);
     m_members.clear();
-    m_hubQuota = {};
-    m_hubQuota.electedAt = m_term.electedAt;
-    m_hubQuota.reachableMemberFraction = 1.0 / static_cast<double>(std::max<size_t>(1, m_memberCount));
-    m_hubQuota.initialFraction = quota::successorInitialFraction;
-    m_hubQuota.lowUsageInitialFraction = quota::successorLowUsageInitialFraction;
-    if (BootClock::now() - m_localQuota.lastHubContactAt < memberTimeout)
-        m_hubQuota.wasLowUsageByAccount = m_localQuota.isLowUsageByAccount;
+    m_quota.hub = {};
+    m_quota.reservations.accounts.clear();
+    m_quota.shortAccounts.clear();
+    m_quota.hub.electedAt = m_term.electedAt;
+    m_quota.hub.reachableMemberFraction = 1.0 / static_cast<double>(std::max<size_t>(1, m_memberCount));
+    m_quota.hub.initialFraction = quota::successorInitialFraction;
+    m_quota.hub.lowUsageInitialFraction = quota::successorLowUsageInitialFraction;
+    if (BootClock::now() - m_quota.local.lastHubContactAt < memberTimeout)
+        m_quota.hub.wasLowUsageByAccount = m_quota.local.isLowUsageByAccount;
     base::logEvent(LogLevel::Info, "hub.elected", { { "fencing_token", revision }, { "lease", lease } });
     m_loop.spawn([this] { renewLoop(); });
     takeOverParts(BootClock::now());
@@ -110,11 +112,11 @@
         : previousOrderer(readOrdererRecord(orderer.entries), m_options.name,
             coordination::revisionEra(m_term.fencingToken), m_hasSeenRestore);
     if (previous == PreviousOrderer::Nobody) {
-        m_hubQuota.initialFraction = 1;
-        m_hubQuota.electedAt = {};
-        m_hubQuota.reachableMemberFraction = 1;
+        m_quota.hub.initialFraction = 1;
+        m_quota.hub.electedAt = {};
+        m_quota.hub.reachableMemberFraction = 1;
     }
-    for (const auto& [account, tokens] : quota::localQuotaTakeUnreported(m_localQuota))
+    for (const auto& [account, tokens] : quota::localQuotaTakeUnreported(m_quota.local))
         chargeUngranted(account, tokens);
     m_term.ordersAllowedAt = termOrdersAllowedAt(previous, now, m_options.orderHandoverDelay);
     m_term.isOrdererRecorded = previous == PreviousOrderer::Self;
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -42,10 +42,10 @@
         m_members.begin(), m_members.end(), [&](const auto& item) { return now - item.second.lastSeenAt <= recent; });
     double known = static_cast<double>(std::max<size_t>(1, m_maxMemberCount));
     double fraction = std::min(1.0, static_cast<double>(reachable + 1) / known);
-    if ((fraction < lowReachableMemberFraction) != (m_hubQuota.reachableMemberFraction < lowReachableMemberFraction))
+    if ((fraction < lowReachableMemberFraction) != (m_quota.hub.reachableMemberFraction < lowReachableMemberFraction))
         base::logEvent(fraction < lowReachableMemberFraction ? LogLevel::Warning : LogLevel::Info,
             "quota.members_heard", { { "heard", reachable + 1 }, { "members", m_maxMemberCount } });
-    m_hubQuota.reachableMemberFraction = fraction;
+    m_quota.hub.reachableMemberFraction = fraction;
 }
 
 Json HubSync::handleCall(const std::string& from, const std::string& method, const Json& body)
@@ -66,24 +66,6 @@
     return Json(Json::value_t::discarded);
 }
 
-Json HubSync::handleGrantCall(const Json& body)
-{
-    BootTime now = BootClock::now();
-    if (termIsOver(m_term, now) || !m_configuration)
-        return Json { { "hub", false } };
-    auto account = m_configuration->accounts.find(body.value("account", ""));
-    if (account == m_configuration->accounts.end())
-        return Json { { "hub", true }, { "tokens", 0.0 } };
-    quota::AccountLimit limit = limitOf(account->second);
-    double need = body.value("need", 0.0);
-    double tokens = 0;
-    for (double wanted : { need * grantPrefetchFactor, need }) {
-        if (tokens == 0 && quota::hubQuotaTake(m_hubQuota, account->first, limit, wanted, now))
-            tokens = wanted;
-    }
-    return Json { { "hub", true }, { "tokens", tokens } };
-}
-
 void HubSync::applyMemberDemand(HubMember& member, const Json& body, BootTime now)
 {
     member.lastSeenAt = now;
@@ -124,12 +106,7 @@
         applyMemberParts(body, now);
         applyMemberLimits(from, body, now);
         applyMemberStreams(body, now);
-        Json unused = body.value("unused", Json::object());
-        for (auto& [account, tokens] : unused.items())
-            quota::hubQuotaReturn(m_hubQuota, account, tokens.get<double>());
-        Json spent = body.value("spent", Json::object());
-        for (auto& [account, tokens] : spent.items())
-            chargeUngranted(account, tokens.get<double>());
+        applyMemberQuota(body, now);
         std::erase_if(m_members, [&](auto& item) { return now - item.second.lastSeenAt > memberTimeout; });
         if (now - m_term.electedAt >= memberTimeout)
             m_memberCount = m_members.size() + 1;
@@ -191,7 +168,7 @@
         Json lowUsage = Json::object();
         for (const auto& [name, account] : m_configuration->accounts) {
             if (account.rate > 0)
-                lowUsage[name] = quota::hubQuotaIsLowUsage(m_hubQuota, name, limitOf(account), now);
+                lowUsage[name] = quota::hubQuotaIsLowUsage(m_quota.hub, name, limitOf(account), now);
         }
         reply["calm"] = std::move(lowUsage);
     }
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -1,4 +1,4 @@
-// The member role: syncs with the hub or with another member, and account quotas.
+// The member role: syncs with the hub or with another member.
 #include <cmath>
 
 #include <fmt/format.h>
@@ -63,23 +63,13 @@
         sentLimitSequence = addLimitsToRequest(body, requestedAt);
         sentStreamSequence = addStreamsToRequest(body);
         addSpillToRequest(body);
-        Json unused = Json::object();
-        for (auto& [account, share] : m_localQuota.shares) {
-            // Grants that were not spent since the last sync are returned.
-            if (share.grantedTokens > 0)
-                unused[account] = std::exchange(share.grantedTokens, 0);
-        }
-        if (!unused.empty())
-            body["unused"] = std::move(unused);
-        unreported = quota::localQuotaTakeUnreported(m_localQuota);
-        if (!unreported.empty())
-            body["spent"] = unreported;
+        unreported = addQuotaToRequest(body);
     }
     net::PeerResult result = m_peers->call(address, "sync", body, base::Clock::now() + m_options.syncTimeout);
     bool isAnswered = result.error == net::PeerError::None && result.body.is_object()
         && (!isHub || result.body.value("hub", false));
     if (!isAnswered) {
-        quota::localQuotaRestoreUnreported(m_localQuota, unreported);
+        quota::localQuotaRestoreUnreported(m_quota.local, unreported);
         return false;
     }
     try {
@@ -182,12 +172,12 @@
         }
         m_hubChangeSequence = body.at("stamp").get<uint64_t>();
         m_memberCount = body.at("members").get<size_t>();
-        m_localQuota.isLowUsageByAccount.clear();
+        m_quota.local.isLowUsageByAccount.clear();
         // A hub without a configuration sends no accounts.
         Json lowUsage = body.value("calm", Json::object());
         for (auto& [account, isLowUsage] : lowUsage.items())
-            m_localQuota.isLowUsageByAccount[account] = isLowUsage.get<bool>();
-        m_localQuota.lastHubContactAt = requestedAt;
+            m_quota.local.isLowUsageByAccount[account] = isLowUsage.get<bool>();
+        m_quota.local.lastHubContactAt = requestedAt;
         if (body.contains("addresses")) {
             m_memberAddresses.clear();
             for (auto& [name, address] : body.at("addresses").items()) {
@@ -218,57 +208,4 @@
     return syncWith(chosen->second, false);
 }
 
-// ---- Account quotas ----------------------------------------------------------------------------
-
-bool HubSync::quotaTake(const gateway::Account& account, double tokens)
-{
-    if (account.rate <= 0)
-        return true;
-    BootTime now = BootClock::now();
-    quota::AccountLimit limit = limitOf(account);
-    if (!termIsOver(m_term, now))
-        return quota::hubQuotaTake(m_hubQuota, account.name, limit, tokens, now);
-    if (quota::localQuotaSpend(m_localQuota, account.name, tokens))
-        return true;
-    if (m_hubRecord && m_isHubReachable && m_peers) {
-        net::PeerResult result = m_peers->call(m_hubRecord->address, "grant",
-            Json { { "account", account.name }, { "need", tokens } }, base::Clock::now() + grantTimeout);
-        if (result.error == net::PeerError::None && result.body.is_object() && result.body.value("hub", false)) {
-            double granted = result.body.value("tokens", 0.0);
-            m_localQuota.shares[account.name].grantedTokens += granted;
-            return quota::localQuotaSpend(m_localQuota, account.name, tokens);
-        }
-    }
-    base::counterAdd("quota_decided_alone_total");
-    double drawn = randomFraction();
-    if (quota::localQuotaSpendLowUsage(
-            m_localQuota, account.name, limit, tokens, memberCount(), drawn, BootClock::now()))
-        return true;
-    return quota::localQuotaSpendFallback(
-        m_localQuota, account.name, limit, tokens, memberCount(), drawn, BootClock::now());
-}
-
-quota::AccountLimit HubSync::limitOf(const gateway::Account& account) const
-{
-    return { account.rate, account.burst, m_options.quotaSlack, m_options.quotaWindow };
-}
-
-// Charges tokens that were spent without a grant from the hub.
-void HubSync::chargeUngranted(const std::string& account, double tokens)
-{
-    if (!m_configuration || tokens <= 0)
-        return;
-    auto found = m_configuration->accounts.find(account);
-    if (found != m_configuration->accounts.end())
-        quota::hubQuotaCharge(m_hubQuota, account, limitOf(found->second), tokens, BootClock::now());
-}
-
-void HubSync::quotaReturn(const std::string& account, double tokens)
-{
-    if (m_term.isHeld)
-        quota::hubQuotaReturn(m_hubQuota, account, tokens);
-    else
-        m_localQuota.shares[account].grantedTokens += tokens;
-}
-
 } // namespace rattanshunt::hub
