Grant restarted fleets what is surely unspent, and wait for a hub instead of refusing alone

Cause: after a total loss a new hub assumed that every account had just used its limit, and until members knew it each of them spent 1/N of a rate although an account's callers are at few daemons.

Change: the hub lists accounts in rs/usage before they may use more than a known part of a window, so that a successor knows what an account that is not listed may have used at most (quota/UsageRecord.h). A daemon that would refuse a request alone holds it until a hub is known, as long as the request can wait for tokens.

--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -130,6 +130,7 @@
     bool findRoute(RequestContext&);
     bool findAccount(RequestContext&);
     bool takeTokens(RequestContext&);
+    bool awaitHub(RequestContext&);
     quota::TokenAsk tokenAskOf(const RequestContext&) const;
     void refuseTokens(RequestContext&, const Account&, const hub::QuotaAnswer&);
     bool findStreamVersion(RequestContext&);
--- a/src/gateway/GatewayQuota.cpp
+++ b/src/gateway/GatewayQuota.cpp
@@ -18,6 +18,9 @@
     // Part of the target latency for which holding a request costs nothing, however slow replicas are.
     constexpr double freeWaitFraction = 0.125;
 
+    // Between two looks for a hub, while a request waits for one.
+    constexpr base::Millis hubCheckInterval { 60 };
+
     // Callers honour a Retry-After up to a third of the time that they have left when it arrives.
     constexpr double callerPatience = 0.95 / 3;
 
@@ -67,6 +70,28 @@
     refuse(request, 429, "over_usage_cap", retryAfter);
 }
 
+// Waits for a hub as long as the request can wait for tokens, or, if the store cannot be reached and so none is to be
+// expected, as long as that costs nothing. False if there was one already, or there is none yet.
+bool Gateway::awaitHub(RequestContext& request)
+{
+    if (m_hubSync.hasHub())
+        return false;
+    BootTime since = BootClock::now();
+    base::Duration wait = tokenAskOf(request).maxWait;
+    if (!m_hubSync.storeIsReachable())
+        wait = std::min(wait, base::durationOf(base::secondsOf(request.route->targetLatency) * freeWaitFraction));
+    ++m_requestsHeldForTokens;
+    while (!request.hasCallerLeft && !m_isEnding && !m_hubSync.hasHub() && BootClock::now() < since + wait) {
+        request.wakeEvent.reset();
+        request.wakeEvent.waitUntil(
+            base::Clock::now() + std::min<base::Duration>(hubCheckInterval, since + wait - BootClock::now()));
+    }
+    --m_requestsHeldForTokens;
+    request.totalWait += BootClock::now() - since;
+    base::counterAdd(m_hubSync.hasHub() ? "requests_held_for_hub_total" : "requests_held_for_hub_in_vain_total");
+    return m_hubSync.hasHub() && !request.hasCallerLeft;
+}
+
 // Takes the request's tokens from its account, and waits for them if they are usable later. False if the request has
 // been refused or its caller has left.
 bool Gateway::takeTokens(RequestContext& request)
@@ -75,6 +100,8 @@
         return true;
     const Account& account = request.configuration->accounts.at(request.accountName);
     hub::QuotaAnswer answer = m_hubSync.quotaTake(account, tokenAskOf(request));
+    if (answer.verdict == TokenVerdict::Refused && !answer.isFromHub && awaitHub(request))
+        answer = m_hubSync.quotaTake(account, tokenAskOf(request));
     if (answer.verdict == TokenVerdict::Refused) {
         refuseTokens(request, account, answer);
         return false;
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -141,6 +141,7 @@
             updateReachableMemberFraction();
             updateSpillPlan(BootClock::now());
             settleReservations();
+            storeUsageRecord();
             advanceParts(BootClock::now());
             storeParts();
             storeStreams();
@@ -167,7 +168,7 @@
         if (!hasRead && !isSynced)
             syncWithRandomMember();
         campaign();
-        if (!m_term.isHeld && !m_isStopping) {
+        if (!m_term.isHeld && !m_isStopping && !hasUntriedHub()) {
             bool isStarting = hasRead && !m_hubRecord;
             net::sleepFor(isStarting                              ? startupReadInterval
                     : m_hubRecord && hasRead && !m_isHubReachable ? startupReadInterval * 2
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -23,6 +23,8 @@
 //                probation, with the Unix time of the block's end; a part that is deleted there is forgotten by all
 //   rs/streams   {versions: [[service, version, last seen]]}, without a lease: the services with several versions
 //   live-streams/*  {streams: [[service, version, streams]]}, under leases, see hub/OriginWriter.h
+//   rs/usage     {above: [account], era}, without a lease: the accounts that have used more than a known part of their
+//                limit, see quota/UsageRecord.h
 //   rs/secret    the shared secret with which daemons authenticate each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and works after the store's history was compacted. A
@@ -237,7 +239,7 @@
     void campaign();
     void storeMemberCount();
     void updateReachableMemberFraction();
-    void becomeHub(int64_t lease, base::BootTime requestedAt, int64_t createRevision);
+    void becomeHub(int64_t lease, base::BootTime requestedAt, int64_t createRevision, quota::HubQuota);
     void renewLoop();
     void recordOrderer();
     nlohmann::json handleCall(const std::string& from, const std::string& method, const nlohmann::json& body);
@@ -319,6 +321,8 @@
     void chargeUngranted(const std::string& account, double tokens);
     void recordReservations(const std::string& account, base::BootTime now);
     void settleReservations();
+    void readUsageRecord(quota::HubQuota&, int64_t era);
+    void storeUsageRecord();
     quota::TokenAnswer grantTokens(const gateway::Account&, const quota::TokenAsk&, base::BootTime now);
     void applyMemberQuota(const nlohmann::json& body, base::BootTime now);
     std::map<std::string, double> addQuotaToRequest(nlohmann::json& body);
@@ -329,6 +333,7 @@
     nlohmann::json buildSyncRequest();
     void applySyncReply(const nlohmann::json& body, base::BootTime requestedAt, bool isHub);
     bool syncWithRandomMember();
+    bool hasUntriedHub() const;
     void ensurePeerNetwork(const std::string& secret);
     void notifySubscribers();
 
@@ -372,8 +377,9 @@
 
     std::optional<HubRecord> m_hubRecord;
     bool m_isHubReachable = false;
-    std::string m_hubIncarnation;     // of the hub that issued `m_hubChangeSequence`
-    uint64_t m_hubChangeSequence = 0; // of the hub's directory, at the last sync
+    std::string m_hubIncarnation;      // of the hub that issued `m_hubChangeSequence`
+    uint64_t m_hubChangeSequence = 0;  // of the hub's directory, at the last sync
+    std::string m_triedHubIncarnation; // of the hub that was last called
     base::BootTime m_hubMissingSince {};
     std::map<std::string, base::Address> m_memberAddresses; // of some members, as last sent by the hub
     size_t m_memberCount = 0;                               // 0: not known yet
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -72,14 +72,18 @@
                                                                    : "no answer" } });
         return;
     }
-    becomeHub(granted.lease, requestedAt, written.revision);
+    // No earlier hub writes the record from now on.
+    quota::HubQuota hubQuota;
+    readUsageRecord(hubQuota, coordination::revisionEra(written.revision));
+    becomeHub(granted.lease, requestedAt, written.revision, std::move(hubQuota));
 }
 
-void HubSync::becomeHub(int64_t lease, BootTime requestedAt, int64_t revision)
+void HubSync::becomeHub(int64_t lease, BootTime requestedAt, int64_t revision, quota::HubQuota hubQuota)
 {
     m_term = termBegin(lease, revision, requestedAt, BootClock::now(), m_options.leaseTtl);
     m_members.clear();
-    m_quota.hub = {};
+    m_quota.hub = std::move(hubQuota);
+    m_quota.isUsageRecordStored = false;
     m_quota.reservations.accounts.clear();
     m_quota.shortAccounts.clear();
     m_quota.hub.electedAt = m_term.electedAt;
--- a/src/hub/HubSyncInternal.h
+++ b/src/hub/HubSyncInternal.h
@@ -14,6 +14,7 @@
 inline constexpr const char* fleetKey = "rs/fleet";
 inline constexpr const char* partsKey = "rs/parts";
 inline constexpr const char* streamsKey = "rs/streams";
+inline constexpr const char* usageKey = "rs/usage";
 inline constexpr const char* secretKey = "rs/secret";
 inline constexpr size_t secretBytes = 16;
 
@@ -22,9 +23,10 @@
 inline constexpr size_t largeConfigurationBytes = 48 * 1024; // above, a known configuration is compared, not read
 inline constexpr base::Millis grantTimeout { 150 };          // for one call to the hub for quota
 inline constexpr base::Millis permitTimeout { 150 };         // for one call to the hub for a permit
-inline constexpr base::Millis rateReportInterval { 1500 }; // between two reports of arrival rates, which change slowly
-inline constexpr base::Millis recordRetryInterval { 150 }; // between two attempts to write the orderer record
-inline constexpr size_t maxAddressSample = 16;             // addresses of other members that a member is told
+inline constexpr base::Millis rateReportInterval { 1500 };  // between two reports of arrival rates, which change slowly
+inline constexpr base::Millis usageRecordInterval { 1000 }; // between two writes of the record of usage
+inline constexpr base::Millis recordRetryInterval { 150 };  // between two attempts to write the orderer record
+inline constexpr size_t maxAddressSample = 16;              // addresses of other members that a member is told
 inline constexpr int maxMissedSyncs = 3; // sync intervals without a sync, after which a member counts as unreachable
 inline constexpr double lowReachableMemberFraction = 0.9; // the hub logs when the fraction crosses this value
 inline constexpr double memberCountChangeFraction = 0.2;  // relative change beyond which the stored count is updated
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -51,6 +51,8 @@
 {
     BootTime requestedAt = BootClock::now();
     m_lastSyncAt = requestedAt;
+    if (isHub && m_hubRecord)
+        m_triedHubIncarnation = m_hubRecord->incarnation;
     std::map<std::string, double> unreported;
     Json body = isHub ? buildSyncRequest()
                       : Json { { "configuration", m_configurationRevision },
@@ -196,6 +198,13 @@
         notifySubscribers();
 }
 
+// Whether the store names a hub that this daemon has not called yet. Requests may be waiting for it.
+bool HubSync::hasUntriedHub() const
+{
+    return m_hubRecord && m_peers && m_hubRecord->name != m_options.name
+        && m_hubRecord->incarnation != m_triedHubIncarnation;
+}
+
 // Used when neither the store nor the hub is reachable: any other member may have newer data.
 bool HubSync::syncWithRandomMember()
 {
--- a/src/hub/HubSyncQuota.cpp
+++ b/src/hub/HubSyncQuota.cpp
@@ -251,9 +251,12 @@
         if (!m_term.isHeld || !m_configuration)
             return;
         auto found = m_configuration->accounts.find(account);
-        if (found != m_configuration->accounts.end())
-            quota::tokensRelease(m_quota.reservations, m_quota.hub, account, limitOf(found->second), answer.reservation,
-                tokens, BootClock::now());
+        if (found == m_configuration->accounts.end())
+            return;
+        BootTime now = BootClock::now();
+        quota::tokensRelease(
+            m_quota.reservations, m_quota.hub, account, limitOf(found->second), answer.reservation, tokens, now);
+        recordReservations(account, now);
         return;
     }
     if (m_quota.releases.size() < maxReleases)
--- a/src/hub/QuotaSync.h
+++ b/src/hub/QuotaSync.h
@@ -8,6 +8,7 @@
 
 #include "quota/AccountQuota.h"
 #include "quota/TokenReservations.h"
+#include "quota/UsageRecord.h"
 
 namespace rattanshunt::hub {
 
@@ -35,6 +36,9 @@
     quota::TokenReservations reservations; // hub only
     quota::ReservationCounts counted;      // of `reservations`, as of the last addition to the metrics
     std::set<std::string> shortAccounts;   // as last logged; hub only
+    bool isUsageRecordRead = false;        // since this term began; hub only
+    bool isUsageRecordStored = false;      // as it should be; hub only
+    base::BootTime usageRecordSentAt {};
     quota::LocalQuota local;
     std::vector<Release> releases;
 };
--- a/src/quota/AccountQuota.h
+++ b/src/quota/AccountQuota.h
@@ -21,6 +21,8 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -78,7 +80,11 @@
         std::deque<UsageSlot> usageSlots; // in the window, oldest first
         double usedTokens = 0;            // sum of `usageSlots`
     };
-    base::BootTime electedAt {};        // of a hub that succeeds another one; unset at the first hub
+    // Record of usage in the store, see UsageRecord.h.
+    bool limitsUnlisted = false;  // accounts that are not in `listed` may use unlistedTokens() in a window at most
+    std::set<std::string> listed; // by the record that the store surely has
+    std::optional<std::set<std::string>> listedBefore; // at the election; nothing: there was no record
+    base::BootTime electedAt {};                       // of a hub that succeeds another one; unset at the first hub
     double reachableMemberFraction = 1; // fraction of members that reach the hub; the others use their fallback share
     std::map<std::string, AccountBucket> buckets; // by account
 };
@@ -92,6 +98,12 @@
 // Usage is summed in slots of this length.
 constexpr base::Millis usageSlotLength { 100 };
 
+// Fraction of a window's maximum that accounts may use without being listed in the record of usage.
+constexpr double unlistedUsageFraction = 0.5;
+
+// Fraction of a window's limit by which the fleet may exceed it.
+constexpr double usageTolerance = 0.1;
+
 inline double accountBucketCapacity(const AccountLimit& limit)
 {
     return limit.burst + limit.slack * hubSlackFraction;
@@ -103,6 +115,28 @@
     return limit.rate * base::secondsOf(limit.window) + accountBucketCapacity(limit);
 }
 
+// Maximum usage in any window of an account that the record of usage does not list. An account can always use its burst
+// and a second's refill at once, as it is listed only then.
+inline double unlistedTokens(const AccountLimit& limit)
+{
+    double atOnce
+        = accountBucketCapacity(limit) * (1 + burstRefillFraction / base::secondsOf(limit.window)) + limit.rate;
+    return std::min(maxWindowTokens(limit), std::max(maxWindowTokens(limit) * unlistedUsageFraction, atOnce));
+}
+
+// Part of the limit that neither hubs nor daemons without one grant. A new hub may grant it in its first window.
+inline double takeoverReserve(const AccountLimit& limit)
+{
+    return (usageTolerance - fallbackExcessFraction) * (limit.rate * base::secondsOf(limit.window) + limit.burst)
+        + limit.slack * (1 - hubSlackFraction - fallbackSlackFraction);
+}
+
+// Maximum usage of the account in any window, in tokens.
+inline double hubQuotaWindowTokens(const HubQuota& quota, const std::string& account, const AccountLimit& limit)
+{
+    return quota.limitsUnlisted && !quota.listed.contains(account) ? unlistedTokens(limit) : maxWindowTokens(limit);
+}
+
 // Tokens per second.
 inline double hubQuotaRefillRate(const HubQuota& quota, const AccountLimit& limit, base::BootTime now)
 {
@@ -120,9 +154,18 @@
     auto known = quota.wasLowUsageByAccount.find(account);
     double fraction = known != quota.wasLowUsageByAccount.end() && known->second ? quota.lowUsageInitialFraction
                                                                                  : quota.initialFraction;
+    // An account that was not listed has used a known part of its window at most, possibly just before the takeover.
+    bool wasUnlisted = quota.listedBefore && known == quota.wasLowUsageByAccount.end()
+        && !quota.listedBefore->contains(account) && quota.electedAt != base::BootTime {};
+    if (wasUnlisted)
+        fraction = quota.lowUsageInitialFraction;
     auto [found, isNew]
         = quota.buckets.try_emplace(account, HubQuota::AccountBucket { limit.burst * fraction, now, {}, 0 });
     HubQuota::AccountBucket& bucket = found->second;
+    if (isNew && wasUnlisted) {
+        bucket.usedTokens = std::max(0.0, unlistedTokens(limit) - takeoverReserve(limit));
+        bucket.usageSlots.push_back({ quota.electedAt, bucket.usedTokens });
+    }
     double elapsed = base::secondsOf(std::max(base::BootClock::duration(0), now - bucket.refilledAt));
     bucket.tokens
         = std::min(accountBucketCapacity(limit), bucket.tokens + elapsed * hubQuotaRefillRate(quota, limit, now));
@@ -148,7 +191,7 @@
     HubQuota& quota, const std::string& account, const AccountLimit& limit, double tokens, base::BootTime now)
 {
     HubQuota::AccountBucket& bucket = hubQuotaBucket(quota, account, limit, now);
-    if (bucket.tokens < tokens || bucket.usedTokens + tokens > maxWindowTokens(limit))
+    if (bucket.tokens < tokens || bucket.usedTokens + tokens > hubQuotaWindowTokens(quota, account, limit))
         return false;
     accountBucketConsume(bucket, tokens, now);
     return true;
--- a/src/quota/TokenReservations.h
+++ b/src/quota/TokenReservations.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "quota/AccountQuota.h"
@@ -91,7 +92,11 @@
     std::string route;
     int sizeClass = 0;
 
-    auto operator<=>(const KindKey&) const = default;
+    bool operator<(const KindKey& other) const
+    {
+        return std::tie(route, sizeClass) < std::tie(other.route, other.sizeClass);
+    }
+    bool operator==(const KindKey&) const = default;
 };
 
 // Tokens that become usable at a time in the future.
