Test a gateway process against clients that hold more than its memory

Seven tests start a gateway process with the settings of the smallest machine (112 MB, 700 descriptors) and check that the process lives, that its resident memory and what its callers' sockets have queued stay within the memory named in the settings, its descriptors within theirs, and that an ordinary request is answered while the clients are still connected. They are a program of their own, which scripts/test.sh runs after the other tests with one job; its results are in the same closing line.

How Soak starts processes moves to lab/GatewayProcess.h.

--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -8,15 +8,13 @@
 #include <random>
 #include <set>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "FaultProxy.h"
 #include "GatewayFleet.h"
+#include "GatewayProcess.h"
 #include "ReplicaStandIn.h"
 #include "StoreStandIn.h"
 #include "UnreliableReplica.h"
@@ -36,30 +34,6 @@
     constexpr double minRecoveredFraction = 0.9;
     constexpr const char* apiKeys[] = { "secret-1", "secret-2" };
 
-    // Below the system's ephemeral port range, so that no outgoing connection takes a port between its choice and the
-    // daemon's start.
-    constexpr uint16_t firstPort = 20000;
-    constexpr uint16_t portCount = 12000;
-
-    // Returns a port that is free now and was not returned before. Daemons set SO_REUSEPORT, so a port that was
-    // returned twice would be shared by two listeners without any error.
-    uint16_t freePort()
-    {
-        using Tcp = boost::asio::ip::tcp;
-        static std::mt19937 random(static_cast<unsigned>(getpid()));
-        static std::set<uint16_t> returnedPorts;
-        while (true) {
-            auto port = static_cast<uint16_t>(firstPort + random() % portCount);
-            boost::asio::io_context context;
-            Tcp::acceptor acceptor(context);
-            boost::system::error_code error;
-            acceptor.open(Tcp::v4(), error);
-            acceptor.bind({ boost::asio::ip::address_v4::loopback(), port }, error);
-            if (!error && returnedPorts.insert(port).second)
-                return port;
-        }
-    }
-
     struct DaemonProcess {
         std::string name;
         std::string settingsFile; // flag file with its settings
@@ -212,16 +186,7 @@
 
         void startProcess(DaemonProcess& process)
         {
-            posix_spawn_file_actions_t actions;
-            posix_spawn_file_actions_init(&actions);
-            posix_spawn_file_actions_addopen(
-                &actions, STDOUT_FILENO, process.logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-            posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-            std::string variable = "RATTANSHUNT_NODE_FILE=" + process.settingsFile;
-            char* arguments[] = { const_cast<char*>(m_options.program.c_str()), const_cast<char*>("gateway"), nullptr };
-            char* variables[] = { variable.data(), nullptr };
-            posix_spawn(&process.pid, m_options.program.c_str(), &actions, nullptr, arguments, variables);
-            posix_spawn_file_actions_destroy(&actions);
+            process.pid = gatewayProcessStart(m_options.program, process.settingsFile, process.logFile);
             process.isExpectedToEnd = false;
             process.isPaused = false;
             process.restartAt = base::timeNever;
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -17,6 +17,8 @@
 DEFINE_string(store, "", "IP:PORT of the platform's metadata store, for the gateway");
 DEFINE_double(cpu_share, 1, "part of a core that this instance has");
 DEFINE_double(link_mbps, 1000, "bandwidth of this instance's link, in Mbit/s");
+DEFINE_double(memory_mb, 0, "memory of this instance, in MB; 0: unknown");
+DEFINE_int32(max_descriptors, 0, "file descriptors that this instance may have open; 0: unknown");
 DEFINE_int32(configuration_ms, 2000, "time until a change of the configuration must be in force");
 DEFINE_int32(leave_ms, 2000, "time until nothing may be sent to a replica that is leaving");
 DEFINE_int32(entry_interval_ms, 1200, "time between two writes of a replica's entry in the store");
@@ -109,6 +111,9 @@
     settings.storeAddress = readAddress("store", FLAGS_store, errors);
     settings.cpuCores = readNonNegative("cpu_share", FLAGS_cpu_share, 1024, errors);
     settings.logLevel = logLevelParse(FLAGS_log_level, errors);
+    settings.memoryMb = readNonNegative("memory_mb", FLAGS_memory_mb, 1e6, errors);
+    settings.maxDescriptors
+        = static_cast<size_t>(readNonNegative("max_descriptors", FLAGS_max_descriptors, 1e7, errors));
     constexpr double maxMillis = 3600000;
     auto millis = [&](const char* flag, int value) {
         return base::Millis(static_cast<int64_t>(readNonNegative(flag, value, maxMillis, errors)));
