Bound what callers send, and account for the memory they hold

Trailers, chunk extensions and chunk counts were read without a bound, bodies and responses without regard to the machine's memory. Beast keeps unparsed bytes in a buffer without a limit, and its async_read_some() reads on for as long as what has arrived ends inside a chunk's size line.

The buffer is bounded by maxHeaderBytes, the overhead of a chunked body by six bytes for each of its bytes and 64 KB. One account (net/MemoryAccount.h) holds bodies, buffered responses and connections; while it is short, a large request is not read on, holders without progress are closed, and after 3 s the request is refused with 503.

A body of known length is read straight into its string, and sent to a replica without copies. Idle connections keep no buffers; assigning an empty string or struct keeps the memory of the old one. A buffered response's share of ResponseMemory was returned once it had been read; it is kept until the response is written.

--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 
+#include <malloc.h>
+
 #include "base/Counters.h"
 #include "base/Histograms.h"
 #include "base/Log.h"
@@ -37,7 +39,8 @@
     , m_codec(codec)
     , m_hubSync(hubSync)
     , m_connectionPool(loop, m_options.connections)
-    , m_responseMemory { m_options.responseMemory }
+    , m_memory(m_options.memoryPlan)
+    , m_responseMemory { m_options.responseMemory, 0, &m_memory }
     , m_waitingQueue(m_options.waitingQueue)
 {
     m_options.retryBudget.processStartedAt = BootClock::now();
@@ -49,13 +52,18 @@
     events.onRequest = [this](net::HttpExchange& exchange) { serve(exchange); };
     events.onMalformed = [this](int status, std::string_view reason) {
         base::logEvent(LogLevel::Info, "request.malformed", { { "status", status }, { "why", reason } });
-        return m_codec.writeErrorResponse(status, reason, std::nullopt, "");
+        std::optional<base::Millis> retryAfter;
+        if (status == 503)
+            retryAfter = net::maxMemoryWait;
+        return m_codec.writeErrorResponse(status, reason, retryAfter, "");
     };
     events.isDraining = [this] { return m_isDraining; };
     net::HttpServerLimits limits;
     CallerLimits defaults;
     limits.maxBodyBytes = defaults.maxBodyBytes;
     limits.idleTimeout = defaults.idleTimeout;
+    limits.maxConnections = m_memory.plan().maxConnections;
+    limits.memory = &m_memory;
     m_server = net::httpServe(m_loop, address, limits, events, error);
     if (!m_server)
         return false;
@@ -66,7 +74,14 @@
             newLimits.maxBodyBytes = configuration->limits.maxBodyBytes;
             newLimits.headerTimeout = configuration->limits.headerTimeout;
             newLimits.idleTimeout = configuration->limits.idleTimeout;
+            newLimits.maxConnections = m_memory.plan().maxConnections;
+            newLimits.memory = &m_memory;
             m_server->setLimits(newLimits);
+            if (!net::memoryMayTake(m_memory.plan(), 0, 0, newLimits.maxBodyBytes)
+                && std::exchange(m_checkedBodyBytes, newLimits.maxBodyBytes) != newLimits.maxBodyBytes)
+                base::logEvent(LogLevel::Error, "limits.body_beyond_memory",
+                    { { "max_body_bytes", newLimits.maxBodyBytes },
+                        { "least_memory_bytes", net::memoryLeastBytes(newLimits.maxBodyBytes) } });
         }
         offerSlots();
     });
@@ -82,6 +97,8 @@
         while (!m_isDraining) {
             net::sleepFor(m_options.sweepInterval);
             m_connectionPool.closeExpired();
+            if (m_memory.takeTrimRequest(base::Clock::now()))
+                malloc_trim(0);
             std::erase_if(m_replicaStats, [&](auto& item) {
                 return item.second.ownLoad.inFlight == 0 && !m_hubSync.directory().replicas.contains(item.first);
             });
@@ -330,7 +347,7 @@
 }
 
 void Gateway::finish(
-    RequestContext& request, NextStep step, const AttemptResult& last, std::optional<base::Millis> retryAfter)
+    RequestContext& request, NextStep step, AttemptResult& last, std::optional<base::Millis> retryAfter)
 {
     if (request.pinnedVersion && (request.hasCallerLeft || step == NextStep::AbortStream))
         m_hubSync.announceBrokenStream();
@@ -345,11 +362,12 @@
             request.exchange.finishStream();
         else
             request.exchange.respond(
-                { last.response.status, m_codec.forwardedHeaders(last.response), last.response.body });
+                { last.response.status, m_codec.forwardedHeaders(last.response), std::move(last.response.body) });
         recordRequestEnd(request, last.response.status, "served", "");
         return;
     case NextStep::ForwardFailure:
-        request.exchange.respond({ last.response.status, m_codec.forwardedHeaders(last.response), last.response.body });
+        request.exchange.respond(
+            { last.response.status, m_codec.forwardedHeaders(last.response), std::move(last.response.body) });
         recordRequestEnd(request, last.response.status, "replica_failed", last.reason);
         return;
     case NextStep::Refuse:
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -61,6 +61,7 @@
     pace::PaceOptions pace;
     ReplicaConnectionOptions connections;
     ResponseMemoryOptions responseMemory;
+    net::MemoryPlan memoryPlan; // as of the start; does not change
 };
 
 // ---- [2] Gateway -------------------------------------------------------------------------------
@@ -88,6 +89,7 @@
     size_t requestsInFlight() const { return m_requests.size(); }
 
     // Connections of callers; after stopAccepting(), only those with a request that is being read or served.
+    const net::MemoryAccount& memory() const { return m_memory; }
     size_t connectionCount() const { return m_server->connectionCount(); }
     bool isDraining() const { return m_isDraining; }
     bool hasFreshConfiguration(base::BootTime now) const; // not older than maxConfigurationAgeForKeys
@@ -148,7 +150,7 @@
     std::optional<Refusal> partRefusal(RequestContext&);
     void beginPartEvidence(RequestContext&);
     void recordPartEvidence(RequestContext&, const ReplicaEntry&, AttemptResult&);
-    void finish(RequestContext&, NextStep, const AttemptResult&, std::optional<base::Millis> retryAfter);
+    void finish(RequestContext&, NextStep, AttemptResult&, std::optional<base::Millis> retryAfter);
     void refuse(RequestContext&, int status, const char* reason, std::optional<base::Millis> retryAfter);
     void recordRequestEnd(const RequestContext&, int status, const char* outcome, const char* reason);
     ReplicaStats& statsOf(const directory::Replica&);
@@ -183,6 +185,7 @@
     const WireCodec& m_codec;
     hub::HubSync& m_hubSync;
     ReplicaConnectionPool m_connectionPool;
+    net::MemoryAccount m_memory;
     ResponseMemory m_responseMemory;
     std::optional<net::HttpServerHandle> m_server;
     std::set<RequestContext*> m_requests;
@@ -201,6 +204,7 @@
     std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
     std::map<std::string, UsualTime> m_usualTimes; // by route, from sending a request to the end of its response
     base::BootTime m_endsAt = base::BootTime::max();
+    size_t m_checkedBodyBytes = 0; // for which a shortage of memory was logged
     bool m_isDraining = false;
     bool m_isEnding = false;
     bool m_isExplaining = false; // a selection has no effects
--- a/src/gateway/ReplicaConnectionPool.cpp
+++ b/src/gateway/ReplicaConnectionPool.cpp
@@ -29,7 +29,7 @@
         return std::move(last.connection);
     }
     base::counterAdd("replica_connections_opened_total");
-    return net::HttpConnection::create(m_loop, address);
+    return net::HttpConnection::create(m_loop, address, m_options.receiveBufferBytes);
 }
 
 bool ReplicaConnectionPool::hasIdle(const base::Address& address, RetryClass retryClass) const
--- a/src/gateway/ReplicaConnectionPool.h
+++ b/src/gateway/ReplicaConnectionPool.h
@@ -23,6 +23,7 @@
     base::Millis maxIdleTimeAtMostOnce { 1500 }; // of a connection that an AtMostOnce request may reuse
     base::Millis idleTimeoutMargin { 1000 };     // how long before the replica's own idle timeout to close
     size_t maxIdlePerReplica = 8;                // idle connections kept per replica
+    size_t receiveBufferBytes = 0;               // of the system for each connection; 0: its default
 };
 
 class ReplicaConnectionPool {
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -14,6 +14,9 @@
     constexpr size_t maxForeignBytes = 1024 * 1024; // of the bodies of such responses
     constexpr size_t maxEventBytes = 128 * 1024;    // of one server-sent event
 
+    // For the memory of a response that is read, while callers hold others that they do not take.
+    constexpr base::Millis maxResponseMemoryWait { 2000 };
+
     AttemptResult makeResult(AttemptOutcome outcome, const char* reason, bool isReplicaFault)
     {
         AttemptResult result;
@@ -93,7 +96,14 @@
             if (error != HttpCallError::None)
                 return error;
             request.attemptBodyBytes += piece.size();
-            if (!memory.append(body, piece)) {
+            base::TimePoint waitsUntil = std::min(base::Clock::now() + maxResponseMemoryWait, steadyDeadline(request));
+            bool isAppended = memory.append(body, piece);
+            while (!isAppended && base::Clock::now() < waitsUntil
+                && memory.mayWait(body.size() + piece.size(), base::Clock::now())) {
+                net::sleepFor(net::memoryPollInterval);
+                isAppended = memory.append(body, piece);
+            }
+            if (!isAppended) {
                 base::counterAdd("replica_answers_too_large_total");
                 return HttpCallError::Malformed;
             }
@@ -184,8 +194,7 @@
             result = forwardStream(request, codec, response);
             result.response.status = response.status;
         } else {
-            result.memory = ResponseMemoryShare(memory);
-            ResponseMemoryShare& share = result.memory;
+            ResponseMemoryShare share(memory);
             error = readBody(request, response.body, share);
             if (error != HttpCallError::None)
                 result = makeCallResult(error);
@@ -201,6 +210,7 @@
                 // A status that means "not executed" without the replica's confirmation, or an unsigned success.
                 result = makeResult(AttemptOutcome::Unknown, "not_to_be_passed_on", true);
             result.response = std::move(response);
+            result.memory = std::move(share); // until the response has been written to the caller
         }
         bool isRead = result.outcome == AttemptOutcome::Complete || std::string_view(result.reason) == "half_event";
         result.hasConnectionEnded = result.hasConnectionEnded || (isRead && isEndedByClose);
@@ -274,8 +284,8 @@
     }
     AttemptTarget target { replica.id, request.accountName, timeLeft, request.priority, request.eventSplitter.lastId };
     use.sentAt = base::Clock::now();
-    HttpCallError error
-        = connection->send(codec.writeAttempt(request.exchange.request(), target), steadyDeadline(request));
+    HttpCallError error = connection->send(codec.writeAttempt(request.exchange.request(), target),
+        request.exchange.request().body, steadyDeadline(request));
     if (error != HttpCallError::None)
         result = makeCallResult(error);
     else
--- a/src/gateway/ResponseMemory.h
+++ b/src/gateway/ResponseMemory.h
@@ -13,6 +13,8 @@
 #include <string_view>
 #include <utility>
 
+#include "net/MemoryAccount.h"
+
 namespace rattanshunt::gateway {
 
 struct ResponseMemoryOptions {
@@ -24,7 +26,8 @@
 // The allowance of one daemon.
 struct ResponseMemory {
     ResponseMemoryOptions options;
-    size_t sharedBytes = 0; // in use
+    size_t sharedBytes = 0;                // in use
+    net::MemoryAccount* account = nullptr; // of the process, that all responses draw on; null: none
 };
 
 // The part of one response; returned when it is destroyed. Movable. Must not outlive the ResponseMemory.
@@ -33,17 +36,20 @@
     ResponseMemoryShare() = default;
     explicit ResponseMemoryShare(ResponseMemory& memory)
         : m_memory(&memory)
+        , m_use(memory.account)
     {
     }
     ResponseMemoryShare(ResponseMemoryShare&& other) noexcept
         : m_memory(std::exchange(other.m_memory, nullptr))
         , m_bytes(std::exchange(other.m_bytes, 0))
+        , m_use(std::move(other.m_use))
     {
     }
     ResponseMemoryShare& operator=(ResponseMemoryShare&& other) noexcept
     {
         std::swap(m_memory, other.m_memory);
         std::swap(m_bytes, other.m_bytes);
+        m_use = std::move(other.m_use);
         return *this;
     }
     ~ResponseMemoryShare()
@@ -59,6 +65,8 @@
         size_t wanted = std::max(bytes, options.grantedBytes) - options.grantedBytes;
         if (bytes > options.maxBytes || m_memory->sharedBytes - m_bytes + wanted > options.maxSharedBytes)
             return false;
+        if (!m_use.resize(bytes))
+            return false;
         m_memory->sharedBytes += wanted - m_bytes;
         m_bytes = wanted;
         return true;
@@ -85,9 +93,20 @@
         return true;
     }
 
+    // Whether a response of `bytes`, for which append() has just failed, may get its memory a little later.
+    bool mayWait(size_t bytes, base::TimePoint now)
+    {
+        net::MemoryAccount* account = m_memory->account;
+        if (!account || bytes > m_memory->options.maxBytes)
+            return false;
+        account->closeStalled(now);
+        return true;
+    }
+
 private:
     ResponseMemory* m_memory = nullptr;
     size_t m_bytes = 0;
+    net::MemoryUse m_use;
 };
 
 } // namespace rattanshunt::gateway
--- a/src/gateway/WireCodec.h
+++ b/src/gateway/WireCodec.h
@@ -158,6 +158,7 @@
 
 struct WireCodec {
     std::function<RequestHead(const net::HttpRequest&)> readRequest;
+    // Without the body, which is sent as it was received.
     std::function<net::HttpRequest(const net::HttpRequest&, const AttemptTarget&)> writeAttempt;
     std::function<ResponseHead(const net::HttpResponse&, const std::string& requestId)> readResponseHead;
     std::function<std::vector<net::HttpHeader>(const net::HttpResponse&)> forwardedHeaders; // to send on to the caller
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -23,6 +23,8 @@
 
 namespace rattanshunt::net {
 
+class MemoryAccount;
+
 // ---- [1] Messages ------------------------------------------------------------------------------
 
 struct HttpHeader {
@@ -58,7 +60,8 @@
     base::Millis bodyTimeout { 30000 };   // from the end of the headers to the end of the body
     base::Millis idleTimeout { 75000 };   // until the first byte of the next request
     base::Millis writeTimeout { 20000 };  // for one write: a whole response, a stream's headers or one chunk
-    size_t maxConnections = 20000;        // further connections are closed right after they were accepted
+    size_t maxConnections = 20000;        // beyond it the one that is idle for longest is closed, or the new one
+    MemoryAccount* memory = nullptr;      // that bodies and connections draw on; null: unlimited
 };
 
 // One request and the means to respond to it. May only be used on the thread of the server's loop.
@@ -124,13 +127,18 @@
 // fiber at a time, except for cancel(), which any fiber or handler of the thread may call.
 class HttpConnection {
 public:
-    static std::unique_ptr<HttpConnection> create(Loop&, const base::Address&);
+    // `receiveBufferBytes` bounds what the system receives ahead; 0: its default.
+    static std::unique_ptr<HttpConnection> create(Loop&, const base::Address&, size_t receiveBufferBytes = 0);
     virtual ~HttpConnection() = default;
 
-    // Each call suspends until it is done or until `deadline`. The address is sent as Host unless the request has a
-    // Host header. After any error the connection is closed.
+    // Each call suspends until it is done or until `deadline`. send() copies no body; that of `head` is not used. The
+    // address is sent as Host unless the request has a Host header. After any error the connection is closed.
     virtual HttpCallError connect(base::TimePoint deadline) = 0;
-    virtual HttpCallError send(const HttpRequest&, base::TimePoint deadline) = 0;
+    virtual HttpCallError send(const HttpRequest& head, std::string_view body, base::TimePoint deadline) = 0;
+    HttpCallError send(const HttpRequest& request, base::TimePoint deadline)
+    {
+        return send(request, request.body, deadline);
+    }
     virtual HttpCallError readHead(HttpResponse&, base::TimePoint deadline) = 0;
 
     // Appends the part of the response's body that has arrived, at most 64 KB. Sets `isEnd` with the last part. A body
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -22,6 +22,8 @@
     // server that sends any of these without end is cut off here.
     constexpr size_t maxUnparsedBytes = 64 * 1024;
 
+    constexpr size_t maxIdleBufferBytes = 4096; // that an idle connection keeps
+
     // After the deadline, for reading the rest of an answer that has arrived while the thread was busy. An answer whose
     // bytes arrive faster than they are read would never meet its timer.
     constexpr base::Millis maxLateTime { 50 };
@@ -55,9 +57,10 @@
 
     class ClientConnection : public HttpConnection {
     public:
-        ClientConnection(Loop& loop, const base::Address& address)
+        ClientConnection(Loop& loop, const base::Address& address, size_t receiveBufferBytes)
             : m_loop(loop)
             , m_address(address)
+            , m_receiveBufferBytes(receiveBufferBytes)
             , m_socket(loop.io())
         {
         }
@@ -69,6 +72,13 @@
             if (code)
                 return HttpCallError::ConnectFailed;
             m_isCancelled = false;
+            if (m_receiveBufferBytes && !m_socket.is_open()) {
+                // Has to be set before the connection is opened, which states the window.
+                Tcp::endpoint endpoint(ip, m_address.port);
+                m_socket.open(endpoint.protocol(), code);
+                m_socket.set_option(
+                    asio::socket_base::receive_buffer_size(static_cast<int>(m_receiveBufferBytes)), code);
+            }
             IoResult result = awaitUntil(deadline,
                 [&](auto handler) { m_socket.async_connect(Tcp::endpoint(ip, m_address.port), std::move(handler)); });
             if (result.error || m_isCancelled) {
@@ -80,13 +90,12 @@
             return HttpCallError::None;
         }
 
-        HttpCallError send(const HttpRequest& request, base::TimePoint deadline) override
+        HttpCallError send(const HttpRequest& request, std::string_view body, base::TimePoint deadline) override
         {
             m_hasSentBytes = false;
             if (!m_isConnected)
                 return HttpCallError::ConnectFailed;
             std::string text;
-            text.reserve(256 + request.body.size());
             text += request.method;
             text += ' ';
             text += request.target;
@@ -99,13 +108,13 @@
                 text += header.value;
                 text += "\r\n";
             }
-            text += fmt::format("Content-Length: {}\r\n\r\n", request.body.size());
-            text += request.body;
+            text += fmt::format("Content-Length: {}\r\n\r\n", body.size());
             m_isRequestInFlight = true;
             m_hasSentBytes = true;
             m_isHeadRead = false;
-            IoResult result = awaitUntil(
-                deadline, [&](auto handler) { asio::async_write(m_socket, asio::buffer(text), std::move(handler)); });
+            std::array<asio::const_buffer, 2> parts { asio::buffer(text), asio::buffer(body.data(), body.size()) };
+            IoResult result
+                = awaitUntil(deadline, [&](auto handler) { asio::async_write(m_socket, parts, std::move(handler)); });
             return result.error ? fail(HttpCallError::SendFailed) : HttpCallError::None;
         }
 
@@ -145,6 +154,11 @@
                 m_isRequestInFlight = false;
                 if (!m_parser->keep_alive())
                     close();
+                // A connection may be idle for long after a large response.
+                if (m_parser->get().body().capacity() > maxIdleBufferBytes)
+                    std::string().swap(m_parser->get().body());
+                if (!m_buffer.size() && m_buffer.capacity() > maxIdleBufferBytes)
+                    m_buffer.shrink_to_fit();
             }
             return HttpCallError::None;
         }
@@ -218,6 +232,7 @@
 
         Loop& m_loop;
         base::Address m_address;
+        size_t m_receiveBufferBytes;
         Tcp::socket m_socket;
         beast::flat_buffer m_buffer { maxUnparsedBytes };
         std::optional<http::response_parser<PieceBody>> m_parser;
@@ -232,9 +247,10 @@
 
 } // namespace
 
-std::unique_ptr<HttpConnection> HttpConnection::create(Loop& loop, const base::Address& address)
+std::unique_ptr<HttpConnection> HttpConnection::create(
+    Loop& loop, const base::Address& address, size_t receiveBufferBytes)
 {
-    return std::make_unique<ClientConnection>(loop, address);
+    return std::make_unique<ClientConnection>(loop, address, receiveBufferBytes);
 }
 
 HttpResult httpCall(
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -1,11 +1,15 @@
 #include "settings/GatewaySettings.h"
 
+#include <cmath>
 #include <cstdlib>
 #include <fstream>
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include "gateway/Configuration.h"
+#include "net/MemoryAccount.h"
+
 DECLARE_string(name);
 DECLARE_string(data_center);
 DECLARE_string(client_listen);
@@ -40,6 +44,8 @@
 
 namespace {
 
+    constexpr double bytesPerMb = 1024 * 1024;
+
     base::Address readAddress(const char* flag, const std::string& value, std::vector<SettingError>& errors)
     {
         auto address = base::parseAddress(value);
@@ -114,6 +120,15 @@
     settings.memoryMb = readNonNegative("memory_mb", FLAGS_memory_mb, 1e6, errors);
     settings.maxDescriptors
         = static_cast<size_t>(readNonNegative("max_descriptors", FLAGS_max_descriptors, 1e7, errors));
+    // One body of the configuration's default limit must be served.
+    size_t leastBytes = net::memoryLeastBytes(gateway::CallerLimits().maxBodyBytes);
+    double leastMb = std::ceil(static_cast<double>(leastBytes) / bytesPerMb);
+    if (settings.memoryMb > 0 && settings.memoryMb < leastMb)
+        errors.push_back(
+            { "memory_mb", fmt::format("{}", FLAGS_memory_mb), fmt::format("0, or at least {}", leastMb) });
+    if (settings.maxDescriptors && settings.maxDescriptors < net::leastDescriptors)
+        errors.push_back({ "max_descriptors", fmt::format("{}", FLAGS_max_descriptors),
+            fmt::format("0, or at least {}", net::leastDescriptors) });
     constexpr double maxMillis = 3600000;
     auto millis = [&](const char* flag, int value) {
         return base::Millis(static_cast<int64_t>(readNonNegative(flag, value, maxMillis, errors)));
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -28,8 +28,8 @@
     double cpuCores = 1;         // cores of this instance, also a part of one
     double linkMbps = 1000;      // bandwidth of this instance's network link, in Mbit/s
 
-    double memoryMb = 0;         // memory of this instance in MB; 0: unknown
-    size_t maxDescriptors = 0;   // that this instance may have open; 0: unknown
+    double memoryMb = 0;       // memory of this instance in MB; 0: unknown
+    size_t maxDescriptors = 0; // that this instance may have open; 0: unknown
 
     // Read again with the file. Those that only HubSync uses (maxReplicaRemovalDelay, replicaEntryInterval,
     // orderHandoverDelay, quotaWindow, quotaSlack, coldExcess, coldSlack, geos, transferCostPerMb,
