--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <malloc.h>
+
 #include <boost/asio/signal_set.hpp>
 
 #include "base/Counters.h"
@@ -27,6 +29,7 @@
 
 namespace {
 
+    constexpr int largeBlockBytes = 128 * 1024;
     constexpr base::Millis logFlushInterval { 100 };
     constexpr base::Millis fileCheckInterval { 1000 }; // between two checks of the settings file
 
@@ -174,6 +177,9 @@
                     text += fmt::format("spill_share{{service=\"{}\",model=\"{}\",data_center=\"{}\"}} {}\n",
                         model.first, model.second, dataCenter, share);
             }
+            gauge("memory_used_bytes", static_cast<double>(m_gateway.memory().usedBytes()));
+            gauge("memory_limit_bytes", static_cast<double>(m_gateway.memory().plan().limitBytes));
+            gauge("caller_connections", static_cast<double>(m_gateway.connectionCount()));
             gauge("store_reachable", m_hubSync.storeIsReachable() ? 1 : 0);
             return text;
         }
@@ -273,6 +279,9 @@
 
 int gatewayRun(const settings::GatewaySettings& settings)
 {
+    // By default glibc raises this bound with the largest block freed, up to 32 MB, and keeps the memory of later
+    // bodies in the heap. A fixed one returns each large block when it is freed.
+    mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
     GatewayDaemon daemon(settings);
     return daemon.run();
 }
--- a/src/cli/GatewayDaemonOptions.cpp
+++ b/src/cli/GatewayDaemonOptions.cpp
@@ -9,6 +9,8 @@
     // API keys are accepted with a configuration up to maxRevocationDelay old, less this.
     constexpr base::Millis revocationMargin { 200 };
 
+    constexpr double bytesPerMb = 1024 * 1024;
+
     // Unknown routes are refused with a configuration up to this fraction of maxConfigurationDelay old.
     constexpr double denialFraction = 0.9;
 
@@ -39,6 +41,8 @@
     options.retryBudget.retriesPerRequest = settings.retryRatio;
     options.retryBudget.extraRetries = settings.extraRetries;
     options.retryBudget.window = settings.retryWindow;
+    options.memoryPlan = net::memoryPlan(static_cast<size_t>(settings.memoryMb * bytesPerMb), settings.maxDescriptors);
+    options.connections.receiveBufferBytes = options.memoryPlan.receiveBufferBytes;
     return options;
 }
 
