--- a/src/cli/GatewayDaemonOptions.cpp
+++ b/src/cli/GatewayDaemonOptions.cpp
@@ -63,6 +63,7 @@
     options.orderHandoverDelay = settings.orderHandoverDelay;
     options.quotaWindow = settings.quotaWindow;
     options.quotaSlack = settings.quotaSlack;
+    options.quotaReservations = settings.quotaReservations;
     options.geos = settings.geos;
     options.coldBound = { settings.coldExcess, settings.coldSlack };
     options.spill = spillOptions(settings);
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -189,8 +189,8 @@
     ResponseMemory m_responseMemory;
     std::optional<net::HttpServerHandle> m_server;
     std::set<RequestContext*> m_requests;
-    std::set<RequestContext*> m_waitingRequests;                // for a slot, a permit or newer knowledge of replicas
-    admission::WaitingQueue<RequestContext> m_waitingQueue;     // those that wait for a slot
+    std::set<RequestContext*> m_waitingRequests;            // for a slot, a permit or newer knowledge of replicas
+    admission::WaitingQueue<RequestContext> m_waitingQueue; // those that wait for a slot
     size_t m_requestsHeldForTokens = 0;
     std::map<std::string, ReplicaStats> m_replicaStats;         // by replica id
     std::map<std::string, RetryBudget> m_retryBudgets;          // by service name
--- a/src/gateway/GatewayQuota.cpp
+++ b/src/gateway/GatewayQuota.cpp
@@ -64,7 +64,10 @@
     std::optional<base::Millis> retryAfter;
     if (answer.retryIn)
         retryAfter = std::chrono::ceil<base::Millis>(*answer.retryIn);
-    else if (!answer.isFromHub && account.rate > 0) // a hub is known by then, or this daemon's share has refilled
+    else if (!m_hubSync.options().quotaReservations && account.rate <= 0)
+        retryAfter = m_options.defaultRetryAfter;
+    else if ((!answer.isFromHub || !m_hubSync.options().quotaReservations) && account.rate > 0)
+        // By then a hub is known, or what was asked for has been refilled.
         retryAfter = std::max(
             base::Millis(static_cast<int64_t>(1000 * request.tokenCost / account.rate)), m_options.defaultRetryAfter);
     refuse(request, 429, "over_usage_cap", retryAfter);
@@ -74,7 +77,7 @@
 // expected, as long as that costs nothing. False if there was one already, or there is none yet.
 bool Gateway::awaitHub(RequestContext& request)
 {
-    if (m_hubSync.hasHub())
+    if (m_hubSync.hasHub() || !m_hubSync.options().quotaReservations)
         return false;
     BootTime since = BootClock::now();
     base::Duration wait = tokenAskOf(request).maxWait;
--- a/src/hub/HubSyncData.h
+++ b/src/hub/HubSyncData.h
@@ -37,8 +37,11 @@
     double quotaSlack = 0;                      // tokens that the fleet may grant beyond an account's burst
     spill::SpillOptions spill;                  // of work to other data centres
     base::Seconds quotaWindow { 8 };            // in which an account's limit is measured
-    limits::ColdBound coldBound;                // on the requests that a cold replica gets in a second
-    std::map<std::string, std::string> geos;    // by data centre
+    // Requests of an account that is short of tokens are scheduled, see quota/TokenReservations.h, and the store has a
+    // record of usage. Otherwise tokens go to whoever asks first.
+    bool quotaReservations = false;
+    limits::ColdBound coldBound;             // on the requests that a cold replica gets in a second
+    std::map<std::string, std::string> geos; // by data centre
 };
 
 // Requests for one DemandKey, as seen by one daemon.
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -74,7 +74,8 @@
     }
     // No earlier hub writes the record from now on.
     quota::HubQuota hubQuota;
-    readUsageRecord(hubQuota, coordination::revisionEra(written.revision));
+    if (m_options.quotaReservations)
+        readUsageRecord(hubQuota, coordination::revisionEra(written.revision));
     becomeHub(granted.lease, requestedAt, written.revision, std::move(hubQuota));
 }
 
--- a/src/hub/HubSyncQuota.cpp
+++ b/src/hub/HubSyncQuota.cpp
@@ -82,8 +82,13 @@
 // Precondition: this daemon is the hub.
 quota::TokenAnswer HubSync::grantTokens(const gateway::Account& account, const quota::TokenAsk& ask, BootTime now)
 {
-    quota::TokenAnswer answer
-        = quota::tokensAsk(m_quota.reservations, m_quota.hub, account.name, limitOf(account), ask, now);
+    quota::TokenAnswer answer;
+    if (!m_options.quotaReservations) {
+        bool isGranted = quota::hubQuotaTake(m_quota.hub, account.name, limitOf(account), ask.tokens, now);
+        answer.verdict = isGranted ? TokenVerdict::Granted : TokenVerdict::Refused;
+        return answer;
+    }
+    answer = quota::tokensAsk(m_quota.reservations, m_quota.hub, account.name, limitOf(account), ask, now);
     recordReservations(account.name, now);
     return answer;
 }
--- a/src/hub/HubSyncUsage.cpp
+++ b/src/hub/HubSyncUsage.cpp
@@ -37,6 +37,8 @@
 // Suspends.
 void HubSync::storeUsageRecord()
 {
+    if (!m_options.quotaReservations)
+        return;
     BootTime now = BootClock::now();
     int64_t lease = m_term.lease;
     auto hasTermEnded = [&] { return m_term.lease != lease || termIsOver(m_term, BootClock::now()); };
--- a/src/settings/GatewaySettings.cpp
+++ b/src/settings/GatewaySettings.cpp
@@ -36,6 +36,8 @@
 DEFINE_double(cold_excess, 1.5, "times its rate that a cold replica may get in a second");
 DEFINE_double(cold_slack, 5, "requests that a cold replica may get in a second beyond that");
 DEFINE_string(geos, "", "the geo of each data centre: DATACENTRE:GEO,...");
+DEFINE_bool(
+    quota_reservations, false, "schedule requests of accounts that are short of tokens, and record usage in the store");
 DEFINE_double(quota_slack, 0, "tokens that the fleet may grant beyond an account's limit");
 DEFINE_double(transfer_cost_per_mb, 0, "seconds of a caller's time that a megabyte between data centres costs");
 DEFINE_int32(transfer_delay_ms, 0, "time that a request takes longer in another data centre");
@@ -152,6 +154,7 @@
     settings.geos = readGeos(FLAGS_geos, errors);
     settings.transferCostPerMb = readNonNegative("transfer_cost_per_mb", FLAGS_transfer_cost_per_mb, 1e6, errors);
     settings.transferDelay = millis("transfer_delay_ms", FLAGS_transfer_delay_ms);
+    settings.quotaReservations = FLAGS_quota_reservations;
     settings.quotaSlack = readNonNegative("quota_slack", FLAGS_quota_slack, 1e12, errors);
     return settings;
 }
--- a/src/settings/GatewaySettings.h
+++ b/src/settings/GatewaySettings.h
@@ -46,6 +46,7 @@
     double retryRatio = 0.2;                        // retries per request of a service
     double extraRetries = 100;                      // further retries of the whole fleet per window
     base::Seconds quotaWindow { 8 };                // over which an account's limit is measured
+    bool quotaReservations = false;                 // requests of an account that is short of tokens are scheduled
     double quotaSlack = 0;                          // tokens that the fleet may grant beyond an account's limit
     double coldExcess = 1.5;                        // times its rate that a cold replica may get in a second
     double coldSlack = 5;                           // requests beyond that
--- a/tests/GatewayFixture.h
+++ b/tests/GatewayFixture.h
@@ -15,10 +15,12 @@
     lab::ReplicaStandIn* engine[2] = {};
     std::vector<lab::LabGateway*> gateways;
 
-    explicit GatewayFixture(net::Loop& testLoop, size_t gatewayCount = 1, double rate = 0, double burst = 0)
+    explicit GatewayFixture(
+        net::Loop& testLoop, size_t gatewayCount = 1, double rate = 0, double burst = 0, bool quotaReservations = false)
         : loop(testLoop)
         , fleet(testLoop)
     {
+        fleet.hubSyncOptions.quotaReservations = quotaReservations;
         fleet.configure(lab::labConfiguration(1, rate, burst));
         for (int i = 0; i < 2; ++i) {
             lab::ReplicaStandInOptions options;
--- a/tests/GatewayQuotaTests.cpp
+++ b/tests/GatewayQuotaTests.cpp
@@ -26,7 +26,7 @@
     // Guards against requests being refused although tokens come in time, and against a Retry-After at which there are
     // none, at another gateway and with a new id.
     tests::runOnLoop([](net::Loop& loop) {
-        GatewayFixture fixture(loop, 2, 100, 100);
+        GatewayFixture fixture(loop, 2, 100, 100, true);
         net::sleepFor(base::Millis(700));
         int held = 0;
         int retried = 0;
@@ -65,7 +65,7 @@
     // Guards against requests that run although their caller has left, and tokens that stay charged for them.
     tests::runOnLoop([](net::Loop& loop) {
         // The store names two members, so that one gateway grants half of the rate.
-        GatewayFixture fixture(loop, 1, 60, 100);
+        GatewayFixture fixture(loop, 1, 60, 100, true);
         net::sleepFor(base::Millis(700));
         int64_t before = base::countersRead()["quota_reservations_released_total"];
         std::string left;
@@ -91,7 +91,7 @@
 {
     // Guards against refusals by a gateway that spends only its own share of a limit in its first moments.
     tests::runOnLoop([](net::Loop& loop) {
-        GatewayFixture fixture(loop, 1, 20, 200);
+        GatewayFixture fixture(loop, 1, 20, 200, true);
         net::sleepFor(base::Millis(700));
         lab::LabGateway& started = fixture.fleet.addGateway("g-late");
         int served = 0;
