--- a/tests/ColdFleetTests.cpp
+++ b/tests/ColdFleetTests.cpp
@@ -1,6 +1,7 @@
 // Cold replicas: gateways against a store and replicas.
 #include "ColdSupport.h"
 #include "ServerLimitFixture.h"
+#include "platform/PlatformCodec.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::tests;
@@ -162,3 +163,33 @@
         fixture.stopSending();
     });
 }
+
+// Guards against replicas staying presumed cold after an evacuation: an entry that keeps saying that its replica is
+// warm does not change.
+Test(cold_replicas, a_warm_replica_that_returns_from_an_evacuation_is_cold_for_its_cold_time_only, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        ColdFixture fixture(loop, 3, 2);
+        fixture.isWriting = false;
+        net::sleepFor(base::Seconds(1));
+        fixture.fleet.store().put("op/evacuate/dc-1", "{}");
+        net::sleepFor(base::Millis(1800));
+        fixture.fleet.store().remove("op/evacuate/dc-1");
+        cr_assert(fixture.waitUntilCold(2));
+        net::sleepFor(base::Seconds(4));
+        cr_expect_eq(fixture.countAtLeast(1), 0U);
+    });
+}
+
+// Guards against a service whose configuration states a rate of 0 getting no requests after a return.
+Test(cold_replicas, a_rate_of_0_means_that_replicas_do_not_turn_cold)
+{
+    std::string json = labConfiguration(2);
+    std::string limit = R"("maxConnections":50},{"name":"engine")";
+    json.insert(json.find(limit) + 19, R"(,"coldPerS":0.0,"coldS":0.0)");
+    std::string fault;
+    auto configuration = platform::wireCodecCreate().readConfiguration(json, fault);
+    cr_assert(configuration, "%s", fault.c_str());
+    for (const auto& [name, service] : configuration->services)
+        cr_expect(!service.coldPerSecond.has_value(), "%s", name.c_str());
+}
