--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -1,7 +1,5 @@
 // A daemon's synchronised view of the fleet: configuration, replicas, demand and account quotas, shared through one
-// elected hub.
-//
-// Options and data structs are in HubSyncData.h.
+// elected hub. Options and data structs are in HubSyncData.h.
 //
 // One daemon, the hub, holds a lease in the coordination store. It reads the whole store at a fixed interval, and the
 // other daemons (members) ask it for changes, so the number of store calls does not grow with the number of daemons.
@@ -25,6 +23,7 @@
 //   live-streams/*  {streams: [[service, version, streams]]}, under leases, see hub/OriginWriter.h
 //   rs/usage     {above: [account], era}, without a lease: the accounts that have used more than a known part of their
 //                limit, see quota/UsageRecord.h
+//   rs/usage     {above, era}, without a lease: accounts that have used much of their limit, see quota/UsageRecord.h
 //   rs/secret    the shared secret with which daemons authenticate each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and works after the store's history was compacted. A
@@ -133,8 +132,7 @@
     // Records what a response says of its replica. Does not suspend.
     void recordStatement(const std::string& replica, int64_t startedAtMillis, const directory::ReplicaStatement&);
 
-    // The replica ended under a request or refused a connection, so it may be another process that is cold. Does not
-    // suspend.
+    // The replica ended under a request or refused a connection, and may be a new, cold process. Does not suspend.
     void presumeRestarted(const std::string& replica, int64_t startedAtMillis);
 
     // Asks for a permit to send one request to a replica with a limit, or to a cold one; it starts within `maxWait`.
@@ -189,7 +187,6 @@
     std::optional<double> replicaLimit(const std::string& replica, int64_t startedAtMillis) const;
     // The same, also of a replica that is cold.
     std::optional<double> replicaPermitRate(const std::string& replica, int64_t startedAtMillis) const;
-
     // What is known of one process of a replica. `homes`: of the request; empty: it has none.
     directory::ReplicaLife replicaLife(
         const directory::Replica&, const std::optional<std::set<std::string>>& homes) const;
--- a/src/quota/TokenReservations.h
+++ b/src/quota/TokenReservations.h
@@ -1,8 +1,8 @@
 // Decides when a request gets tokens of an account that is short of them: now, from a time on, or not.
 //
 // Contents
-//   [1] Data            TokenAsk, TokenAnswer, KindKey, TokenReservation, KindUsage, AccountReservations,
-//   TokenReservations [2] Decisions       tokensAsk(), tokensRelease(), tokensSettle()
+//   [1] Data            TokenAsk, TokenAnswer, TokenReservation, AccountReservations, TokenReservations
+//   [2] Decisions       tokensAsk(), tokensRelease(), tokensSettle()
 //
 // Load pattern: one account sends several times its rate, with several kinds of request. Some must start within half a
 // second, others can wait for seconds, and some cost ten times as many tokens as others. Refused callers come back
@@ -15,8 +15,7 @@
 // refill in proportion to the tokens that they ask for. An account that is not short is granted tokens at once.
 //
 // Q: Why does each kind have a clock?  A: With a single queue, requests that can wait would fill it beyond the time
-// that
-//    urgent ones can wait, and the urgent kind would get nothing.
+//    that urgent ones can wait, and the urgent kind would get nothing.
 //
 // Pure functions; the calling thread owns the data.
 #pragma once
