Log whether a response bore its request's id, and count refusals by it

On a connection in use again the id is what a response is believed by. The log said that a connection was reused, but not whether the response that decided the attempt was identified, so a copy that was believed could not be told from a refusal without an id.

--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -277,9 +277,10 @@
         base::logEvent(LogLevel::Info, "request.attempt",
             { { "id", request.head.id }, { "replica", entry.id }, { "attempt", request.progress.attemptsMade },
                 { "end", result.reason }, { "status", result.response.status },
-                { "reused", result.wasConnectionReused }, { "took_ms", millisSince(now, begunAt) },
-                { "trouble", stats.failureScore }, { "events", request.eventSplitter.completeEvents },
-                { "parts", attemptPartsText(request, result) }, { "request", attemptKeyText(request, result) } });
+                { "reused", result.wasConnectionReused }, { "identified", result.wasIdentified },
+                { "took_ms", millisSince(now, begunAt) }, { "trouble", stats.failureScore },
+                { "events", request.eventSplitter.completeEvents }, { "parts", attemptPartsText(request, result) },
+                { "request", attemptKeyText(request, result) } });
     recordPartEvidence(request, entry, result);
     offerSlots();
     return result;
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -165,6 +165,7 @@
         bool wasReused = false;
         base::TimePoint sentAt {};
         std::optional<base::Seconds> idleTimeout; // after which the replica closes the connection
+        bool wasIdentified = false;               // the response carried the request's id
         bool mayReuse = false;
     };
 
@@ -183,6 +184,9 @@
         // A response without a limit counts only if it surely is this replica's.
         if (request.onLimit && !head.isMisdirected && (head.limit.isNamed || head.isIdentified))
             request.onLimit(head.limit);
+        use.wasIdentified = head.isIdentified;
+        if (head.isNotExecuted)
+            base::counterAddLabelled("replica_refusals_total", "id", head.isIdentified ? "own" : "none");
         bool isEndedByClose = !isDelimited(response);
         AttemptResult result;
         if (use.wasReused && !head.isIdentified && !head.isNotExecuted) {
@@ -293,6 +297,7 @@
     request.connection = nullptr;
     result.wasSent = true;
     result.wasConnectionReused = use.wasReused;
+    result.wasIdentified = use.wasIdentified;
     eventsDropPartial(request.eventSplitter);
     if (use.mayReuse)
         pool.release(std::move(connection), use.idleTimeout);
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -99,6 +99,7 @@
     ResponseMemoryShare memory;           // of `response`
     base::Duration timeToFirstByte { 0 }; // from sending the request to the head of the response
     bool wasConnectionReused = false;     // the connection had been used before
+    bool wasIdentified = false;           // the response carried the request's id
     bool mayEndReplicas = false;          // no other replica should get the request, see attempts::RetryConditions
     bool wasSent = false;                 // at least in part
     bool hasConnectionEnded = false;      // at the replica's side, before the end of the answer or as its end
