Send no request on a connection that has answered one with its id

What callers saw: requests that may run once ran twice, and requests that ran got 503, where a replica wrote a refusal once more.

Cause: a response is believed if it bears the request's id, and the connection that brought a refusal with the id goes back to the pool. If the same request comes to it again, the copy of its refusal bears the id too. The gateway's pool is kept by address, and the replicas that a request has tried by replica id, so a replica that is listed under two ids brings it back; so does a caller that sends its id again, and in `serve` the next attempt of a refused completion takes the connection that was used last. Class of fault: a response is attributed by what it says of itself, where only the connection's history can tell.

Change: one pool for the gateway and for `serve`. A connection remembers the ids that were answered on it, and the pool gives it to no request with one of them. All answers are remembered, not only refusals: any of them may be written once more.

Ruled out: never using a connection after a refusal. Its copies could not be met either, but refusals come when replicas are full, which is when connections are scarcest, and the copy of another answer would still be believed.

--- a/lab/ResponseFuzz.cpp
+++ b/lab/ResponseFuzz.cpp
@@ -220,7 +220,7 @@
     Attempt runAttempt(net::Loop& loop, const base::Address& address, bool isStream, base::Millis deadline)
     {
         static const gateway::WireCodec codec = platform::wireCodecCreate();
-        gateway::ReplicaConnectionPool pool(loop, {});
+        net::ConnectionPool pool(loop, {});
         gateway::ResponseMemory memory;
         gateway::Route route;
         route.isStream = isStream;
@@ -241,7 +241,7 @@
         attempt.headers = std::move(result.response.headers);
         attempt.status = result.response.status;
         attempt.body = exchange.streamStatus ? std::move(exchange.forwarded) : std::move(result.response.body);
-        attempt.isConnectionKept = pool.hasIdle(address, gateway::RetryClass::Idempotent);
+        attempt.isConnectionKept = pool.hasIdle(address, { "another request" });
         return attempt;
     }
 
--- a/src/entry/RequestServer.cpp
+++ b/src/entry/RequestServer.cpp
@@ -13,12 +13,13 @@
     constexpr double serviceTimeSafetyFactor = 1.5; // multiple of the average that is reserved before a deadline
     constexpr double serviceTimeSmoothing = 0.1;    // weight of the latest request in the average service time
     constexpr base::Millis minServiceTime { 10 };
+    constexpr size_t maxIdlePerEndpoint = 64;
 }
 
 ThreadState::ThreadState(net::Loop& ownLoop, DaemonContext& ownContext)
     : loop(ownLoop)
     , context(ownContext)
-    , connectionPool(ownLoop)
+    , connectionPool(ownLoop, { .maxIdlePerAddress = maxIdlePerEndpoint })
     , tokenCache(ownLoop, ownContext.budget, ownContext.settings.tokenValidity)
     , replicaScheduler(ownLoop, ownContext)
 {
--- a/src/entry/RequestState.h
+++ b/src/entry/RequestState.h
@@ -11,12 +11,12 @@
 #include <string>
 #include <vector>
 
-#include "endpoints/ConnectionPool.h"
 #include "entry/DaemonContext.h"
 #include "entry/Outcome.h"
 #include "entry/ReplicaScheduler.h"
 #include "entry/RequestParser.h"
 #include "entry/TokenCache.h"
+#include "net/ConnectionPool.h"
 #include "net/Http.h"
 
 namespace rattanshunt::entry {
@@ -38,7 +38,7 @@
 struct ThreadState {
     net::Loop& loop;
     DaemonContext& context;
-    endpoints::ConnectionPool connectionPool;
+    net::ConnectionPool connectionPool;
     TokenCache tokenCache;
     ReplicaScheduler replicaScheduler;
     RequestLimits requestLimits;
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -268,20 +268,21 @@
             thread.replicaScheduler.release(call.completion.model, grant.endpoint, 0);
             return { .reason = reason };
         }
-        auto connection = thread.connectionPool.acquire(grant.endpoint.address);
-        request.connectionToCancel = connection.get();
+        net::PooledConnection pooled = thread.connectionPool.acquire(grant.endpoint.address, { request.id });
+        net::HttpConnection& connection = *pooled.connection;
+        request.connectionToCancel = &connection;
         double usedBefore = request.usedTokens;
         base::TimePoint sentAt = base::Clock::now();
         AttemptOutcome result;
         {
-            ActiveConnectionGuard guard(thread, connection.get());
-            result = sendAttempt(thread, request, call, *connection, grant.endpoint);
+            ActiveConnectionGuard guard(thread, &connection);
+            result = sendAttempt(thread, request, call, connection, grant.endpoint);
         }
         request.connectionToCancel = nullptr;
         if (result == AttemptOutcome::Complete)
             serviceTimeRecord(thread.serviceTimes, request.subject, request.usedTokens - call.promptTokens,
                 base::Clock::now() - sentAt);
-        thread.connectionPool.release(std::move(connection));
+        thread.connectionPool.release(std::move(pooled), request.id);
         thread.replicaScheduler.release(call.completion.model, grant.endpoint, request.usedTokens - usedBefore);
         if (result != AttemptOutcome::Complete && !request.isCallerGone)
             call.excludedEndpoints.insert(grant.endpoint.id);
--- a/src/entry/ServeRoute.cpp
+++ b/src/entry/ServeRoute.cpp
@@ -44,12 +44,14 @@
     {
         // A pooled connection may be closed by the service while the call is sent, which leaves the outcome unknown. A
         // call that must not be retried therefore uses a new connection.
-        auto connection = route.isRepeatable ? thread.connectionPool.acquire(endpoint.address)
-                                             : net::HttpConnection::create(thread.loop, endpoint.address);
+        net::PooledConnection pooled = route.isRepeatable
+            ? thread.connectionPool.acquire(endpoint.address, { request.id })
+            : net::PooledConnection { net::HttpConnection::create(thread.loop, endpoint.address), {} };
+        net::HttpConnection* connection = pooled.connection.get();
         // A call that must not be retried continues after its caller disconnects, so that its outcome can be stored.
         if (route.isRepeatable)
-            request.connectionToCancel = connection.get();
-        auto guard = std::make_unique<ActiveConnectionGuard>(thread, connection.get());
+            request.connectionToCancel = connection;
+        auto guard = std::make_unique<ActiveConnectionGuard>(thread, connection);
         net::HttpCallError error = net::HttpCallError::None;
         bool wasReused = connection->isConnected();
         if (!wasReused)
@@ -85,7 +87,7 @@
             return AttemptOutcome::Unknown;
         }
         if (!responseRequestId.empty())
-            thread.connectionPool.release(std::move(connection));
+            thread.connectionPool.release(std::move(pooled), request.id);
         // A service sets this header if it refused the call before executing any of it.
         if (net::httpHeader(response.headers, "X-Not-Run") == "true")
             return AttemptOutcome::NotExecuted;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -20,7 +20,6 @@
 #include "admission/WaitingQueue.h"
 #include "gateway/ExplainWhere.h"
 #include "gateway/OwnLoad.h"
-#include "gateway/ReplicaConnectionPool.h"
 #include "gateway/ReplicaSelection.h"
 #include "gateway/RequestContext.h"
 #include "gateway/RetryBudget.h"
@@ -59,7 +58,7 @@
     ReplicaSelectionOptions plainSelection { .connectionCost = 0.2 };
     OwnLoadOptions ownLoad;
     pace::PaceOptions pace;
-    ReplicaConnectionOptions connections;
+    net::ConnectionPoolOptions connections;
     ResponseMemoryOptions responseMemory;
     net::MemoryPlan memoryPlan; // as of the start; does not change
 };
@@ -184,7 +183,7 @@
     GatewayOptions m_options;
     const WireCodec& m_codec;
     hub::HubSync& m_hubSync;
-    ReplicaConnectionPool m_connectionPool;
+    net::ConnectionPool m_connectionPool;
     net::MemoryAccount m_memory;
     ResponseMemory m_responseMemory;
     std::optional<net::HttpServerHandle> m_server;
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -139,7 +139,7 @@
         candidate.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
         candidate.reportedWaiting = stats.reportedWaiting;
         candidate.failureScore = decayedFailureScore(stats, now);
-        candidate.hasIdleConnection = m_connectionPool.hasIdle(replica.entry.address, request.progress.retryClass);
+        candidate.hasIdleConnection = m_connectionPool.hasIdle(replica.entry.address, connectionRequest(request));
         addPace(candidate, stats, selectionOptions, now);
         candidates.push_back(candidate);
         replicas.push_back(&replica);
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -256,18 +256,24 @@
             || reason == replicaEvacuatedReason || reason == replicaColdReason);
 }
 
+net::ConnectionRequest connectionRequest(const RequestContext& request)
+{
+    return { request.head.id, request.progress.retryClass == RetryClass::AtMostOnce };
+}
+
 base::Millis requestTimeLeft(const RequestContext& request, base::BootTime now)
 {
     return std::chrono::duration_cast<base::Millis>(request.deadline - now);
 }
 
 AttemptResult attemptRun(RequestContext& request, const ReplicaEntry& replica, const WireCodec& codec,
-    ReplicaConnectionPool& pool, ResponseMemory& memory)
+    net::ConnectionPool& pool, ResponseMemory& memory)
 {
-    auto connection = pool.acquire(replica.address, request.progress.retryClass);
+    net::PooledConnection pooled = pool.acquire(replica.address, connectionRequest(request));
+    net::HttpConnection* connection = pooled.connection.get();
     ConnectionUse use;
     use.wasReused = connection->isConnected();
-    request.connection = connection.get();
+    request.connection = connection;
     request.attemptBodyBytes = 0;
     AttemptResult result;
     base::Millis timeLeft = requestTimeLeft(request, BootClock::now());
@@ -300,7 +306,7 @@
     result.wasIdentified = use.wasIdentified;
     eventsDropPartial(request.eventSplitter);
     if (use.mayReuse)
-        pool.release(std::move(connection), use.idleTimeout);
+        pool.release(std::move(pooled), request.head.id, use.idleTimeout);
     return result;
 }
 
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -11,11 +11,11 @@
 #include <string>
 
 #include "attempts/RetryPolicy.h"
-#include "gateway/ReplicaConnectionPool.h"
 #include "gateway/ReplicaSelection.h"
 #include "gateway/ResponseMemory.h"
 #include "gateway/ServerSentEvents.h"
 #include "gateway/WireCodec.h"
+#include "net/ConnectionPool.h"
 #include "net/Http.h"
 #include "prompts/PartLedger.h"
 
@@ -132,7 +132,7 @@
 // Sends the request to one replica. Forwards the events of a stream to the caller as they arrive; any other response is
 // returned complete. Cancelled through RequestContext::connection. `memory` must outlive the result.
 AttemptResult attemptRun(
-    RequestContext&, const ReplicaEntry&, const WireCodec&, ReplicaConnectionPool&, ResponseMemory& memory);
+    RequestContext&, const ReplicaEntry&, const WireCodec&, net::ConnectionPool&, ResponseMemory& memory);
 
 // The ids of the parts of the prompt that other requests may share: all but the last. Those that are not UTF-8 are left
 // out, as they could not be passed on to other daemons.
@@ -158,6 +158,9 @@
 // another one.
 bool attemptIsObsolete(const AttemptResult&);
 
+// What the request needs of its connection to a replica.
+net::ConnectionRequest connectionRequest(const RequestContext&);
+
 // Time left until the deadline.
 base::Millis requestTimeLeft(const RequestContext&, base::BootTime now);
 
--- /dev/null
+++ b/tests/RefusalCopyTests.cpp
@@ -0,0 +1,136 @@
+// A replica writes a refusal once more, late: while another request is under way on the connection, or the same one
+// again. What ran is compared with what the callers heard.
+#include "ByteFleet.h"
+
+using namespace rattanshunt;
+using namespace rattanshunt::lab;
+using tests::ByteFleet;
+using tests::requestIdOf;
+
+namespace {
+
+constexpr base::Millis runTime { 10 };
+
+std::string refusalOf(int status, const std::string& id, const std::string& fields)
+{
+    return fmt::format("HTTP/1.1 {} Refused\r\n{}{}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status,
+        id.empty() ? "" : "Request-Id: " + id + "\r\n", fields);
+}
+
+std::string answerTo(const std::string& id)
+{
+    std::string body = "answer to " + id;
+    return fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Seal: seal\r\nContent-Length: {}\r\n\r\n{}", id,
+        body.size(), body);
+}
+
+// When the copy of a connection's last refusal is written, of the next request's time there.
+enum class CopyAt { Arrival, Run, HalfHead };
+
+// The replicas of one gateway. They refuse requests on demand, and count what they run.
+struct CopyFixture {
+    int refusalsLeft = 0;
+    int status = 503;
+    bool hasId = true;
+    std::string fields; // further header lines of refusals
+    CopyAt copyAt = CopyAt::Run;
+    std::map<std::string, int> runs; // by request id
+    int copies = 0;
+    std::map<ByteConnection*, std::string> refusals; // not yet written once more, by connection
+    ByteFleet bytes;
+
+    CopyFixture(net::Loop& loop, size_t replicas)
+        : bytes(loop, "plain", replicas,
+            [this](ByteConnection& connection, const net::HttpRequest& request) { respond(connection, request); })
+    {
+    }
+
+    void respond(ByteConnection& connection, const net::HttpRequest& request)
+    {
+        std::string id = requestIdOf(request);
+        if (connection.requestNumber() == 0)
+            refusals[&connection].clear();
+        if (refusalsLeft > 0) {
+            --refusalsLeft;
+            refusals[&connection] = refusalOf(status, hasId ? id : "", fields);
+            connection.send(refusals[&connection]);
+            return;
+        }
+        std::string copy = std::exchange(refusals[&connection], "");
+        copies += !copy.empty();
+        if (copyAt == CopyAt::Arrival)
+            connection.send(copy);
+        ++runs[id];
+        net::sleepFor(runTime);
+        if (copyAt == CopyAt::Run)
+            connection.send(copy);
+        net::sleepFor(runTime);
+        if (copyAt == CopyAt::HalfHead)
+            connection.send(copy.substr(0, copy.size() / 2));
+        connection.send((copyAt == CopyAt::HalfHead ? copy.substr(copy.size() / 2) : "") + answerTo(id));
+    }
+
+    // Lists the replica once more under another id, as after a restart at its address.
+    void listAgain(const std::string& replicaId)
+    {
+        size_t known = bytes.gateway->hubSync.directory().replicas.size();
+        bytes.fleet.store().put(
+            "servers/" + replicaId, byteReplicaEntry("plain", bytes.replicas.front()->address(), { "m1" }));
+        while (bytes.gateway->hubSync.directory().replicas.size() <= known)
+            net::sleepFor(base::Millis(10));
+    }
+
+    // One call, and whether what the caller heard agrees with what ran. `earlierRuns`: of the same id.
+    int call(const std::string& path, const std::string& id)
+    {
+        int earlierRuns = runs[id];
+        CallerResponse response = bytes.call(path, id);
+        net::sleepFor(3 * runTime);
+        int ran = runs[id] - earlierRuns;
+        if (path == "/once/")
+            cr_expect_leq(ran, 1, "%s, status %d: ran %d times", id.c_str(), status, ran);
+        bool isRefused = response.status == 429 || response.status == 503 || response.status == 408;
+        cr_expect(
+            !ran || !isRefused, "%s, status %d: ran and was refused with %d", id.c_str(), status, response.status);
+        cr_expect(response.status != 200 || response.body == "answer to " + id);
+        return response.status;
+    }
+};
+
+} // namespace
+
+Test(refusal_copy, a_copy_is_not_taken_for_the_same_request_at_a_replica_listed_twice, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CopyFixture fixture(loop, 1);
+        fixture.listAgain("i-again");
+        fixture.listAgain("i-once-more");
+        size_t served = 0;
+        for (int i = 0; i < 9; ++i) { // all within the retry budget
+            static constexpr int statuses[] = { 503, 429, 421 };
+            static constexpr CopyAt times[] = { CopyAt::Arrival, CopyAt::Run, CopyAt::HalfHead };
+            fixture.status = statuses[i % 3];
+            fixture.copyAt = times[i / 3 % 3];
+            fixture.refusalsLeft = 1;
+            served += fixture.call(i % 4 ? "/once/" : "/safe/", fmt::format("{:016x}", i + 1)) == 200;
+        }
+        cr_expect_eq(served, 9, "%zu served", served);
+    });
+}
+
+Test(refusal_copy, a_copy_is_not_taken_for_a_request_that_its_caller_sends_again, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CopyFixture fixture(loop, 1);
+        size_t served = 0;
+        for (int i = 0; i < 18; ++i) {
+            static constexpr CopyAt times[] = { CopyAt::Arrival, CopyAt::Run, CopyAt::HalfHead };
+            fixture.copyAt = times[i % 3];
+            std::string id = fmt::format("{:016x}", i + 1);
+            fixture.refusalsLeft = 1;
+            fixture.call("/once/", id);
+            served += fixture.call(i % 4 ? "/once/" : "/safe/", id) == 200;
+        }
+        cr_expect_geq(served, 15, "%zu served", served);
+    });
+}
