Do not take a response without an id for identified if the request has none

What callers saw: after a request without an id had been refused (400), the next request on its connection ran twice, or ran and got 503.

Cause: the response's id was compared with the request's, and "none" equals "none".

Failed before: refusal_copy::a_copy_of_the_refusal_of_a_request_without_id_refuses_no_other_request, of 12 requests 6 ran twice and 4 that ran got 503.

--- a/src/net/ConnectionPool.cpp
+++ b/src/net/ConnectionPool.cpp
@@ -19,7 +19,7 @@
 
 bool ConnectionPool::suits(const IdleConnection& idle, const ConnectionRequest& request, base::BootTime now) const
 {
-    return !answeredContains(idle.pooled.answered, request.id)
+    return !request.id.empty() && !answeredContains(idle.pooled.answered, request.id)
         && (!request.isAtMostOnce || now - idle.idleSince <= m_options.maxIdleTimeAtMostOnce);
 }
 
--- a/src/net/ConnectionPool.h
+++ b/src/net/ConnectionPool.h
@@ -33,7 +33,7 @@
 
 // The request that a connection is needed for.
 struct ConnectionRequest {
-    std::string_view id {};
+    std::string_view id {}; // empty: it gets a new connection
     bool isAtMostOnce = false;
 };
 
--- a/tests/RefusalCopyTests.cpp
+++ b/tests/RefusalCopyTests.cpp
@@ -134,3 +134,20 @@
         cr_expect_geq(served, 15, "%zu served", served);
     });
 }
+
+// The replica refuses a request without an id, and cannot name one in the copy either.
+Test(refusal_copy, a_copy_of_the_refusal_of_a_request_without_id_refuses_no_other_request, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CopyFixture fixture(loop, 2);
+        fixture.status = 400;
+        size_t served = 0;
+        for (int i = 0; i < 12; ++i) {
+            fixture.refusalsLeft = 1;
+            fixture.bytes.call("/once/", "");
+            fixture.refusalsLeft = 0;
+            served += fixture.call(i % 4 ? "/once/" : "/safe/", fmt::format("{:016x}", i + 1)) == 200;
+        }
+        cr_expect_geq(served, 10, "%zu served", served);
+    });
+}
