Believe a refusal without an id only on a new connection

What callers saw: requests ran twice, or ran and got 503, where a replica sent bytes after a complete response that look like a refusal.

Cause: on a connection in use again, a response without the request's id was not believed, unless it said that the request was not run. But bytes after a complete response belong to no request, whatever they say.

Change: on such a connection no response without the id is believed. The attempt's outcome is unknown: 502 for what may run once, another attempt for the rest. On a new connection nothing else was sent, so there a refusal without an id is the request's.

Cost: a replica that leaves the id out of its refusals brings a 502 where 503 was true.

--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -189,8 +189,8 @@
             base::counterAddLabelled("replica_refusals_total", "id", head.isIdentified ? "own" : "none");
         bool isEndedByClose = !isDelimited(response);
         AttemptResult result;
-        if (use.wasReused && !head.isIdentified && !head.isNotExecuted) {
-            // It may be the late copy of a response to an earlier request.
+        if (use.wasReused && !head.isIdentified) {
+            // Bytes that came late, or belong to no request. Also a refusal says nothing of this one.
             base::counterAdd("replica_answers_without_id_total");
             return makeResult(AttemptOutcome::Unknown, "answer_without_id", true);
         }
--- a/tests/RefusalCopyTests.cpp
+++ b/tests/RefusalCopyTests.cpp
@@ -151,3 +151,19 @@
         cr_expect_geq(served, 10, "%zu served", served);
     });
 }
+
+// Bytes after a complete response belong to no request, also if they look like a refusal.
+Test(refusal_copy, a_refusal_without_id_on_a_reused_connection_is_not_believed, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CopyFixture fixture(loop, 2);
+        fixture.hasId = false;
+        for (int i = 0; i < 12; ++i) {
+            fixture.call("/safe/", fmt::format("{:016x}", 0x100 + i));
+            for (auto& [connection, refusal] : fixture.refusals)
+                refusal = refusalOf(503, "", "");
+            fixture.call(i % 4 ? "/once/" : "/safe/", fmt::format("{:016x}", i + 1));
+        }
+        cr_expect_geq(fixture.copies, 6);
+    });
+}
