Do not believe what a late copy says of its replica

What callers saw: a request waited until a replica's quiet time was over, though it had ended.

Cause: the headers by which a replica says that it leaves, or wants no requests for a while, were read from each response, before its id was compared. The copy of a refusal began its quiet time anew.

Change: only the response to the request itself is read. What a copy says was heard when its original came.

--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -65,11 +65,12 @@
             if (error != HttpCallError::None)
                 return error;
             head = codec.readResponseHead(response, request.head.id);
-            // A misdirected request was answered by another replica at the address.
-            if (request.onStatement && !head.isMisdirected)
-                request.onStatement(head.statement);
-            if (!head.isForOtherRequest)
+            if (!head.isForOtherRequest) {
+                // A misdirected request was answered by another replica at the address.
+                if (request.onStatement && !head.isMisdirected)
+                    request.onStatement(head.statement);
                 return HttpCallError::None;
+            }
             base::counterAdd("replica_foreign_answers_total");
             bool isEnd = false;
             std::string discarded;
--- a/tests/RefusalCopyTests.cpp
+++ b/tests/RefusalCopyTests.cpp
@@ -167,3 +167,21 @@
         cr_expect_geq(fixture.copies, 6);
     });
 }
+
+Test(refusal_copy, a_copy_does_not_begin_the_quiet_time_of_its_refusal_anew, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        CopyFixture fixture(loop, 1);
+        fixture.fields = "Retry-After: 0.4\r\n";
+        for (int i = 0; i < 4; ++i) {
+            fixture.refusalsLeft = 1;
+            fixture.bytes.call("/once/", fmt::format("{:016x}", 3 * i + 1));
+            net::sleepFor(base::Millis(600));
+            cr_expect_eq(fixture.call("/once/", fmt::format("{:016x}", 3 * i + 2)), 200);
+            base::TimePoint sentAt = base::Clock::now();
+            cr_expect_eq(fixture.call("/once/", fmt::format("{:016x}", 3 * i + 3)), 200);
+            cr_expect_lt(base::Clock::now() - sentAt, base::Millis(300));
+        }
+        cr_expect_eq(fixture.copies, 4);
+    });
+}
