Ask for idle connections of thousands of candidates without comparing ids

The selection asks for each candidate whether a connection to it is open.

Change: hasIdle() leaves the id out. It is an estimate of a cost; acquire() decides.

--- a/lab/ResponseFuzz.cpp
+++ b/lab/ResponseFuzz.cpp
@@ -241,7 +241,7 @@
         attempt.headers = std::move(result.response.headers);
         attempt.status = result.response.status;
         attempt.body = exchange.streamStatus ? std::move(exchange.forwarded) : std::move(result.response.body);
-        attempt.isConnectionKept = pool.hasIdle(address, { "another request" });
+        attempt.isConnectionKept = pool.hasIdle(address, false);
         return attempt;
     }
 
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -139,7 +139,8 @@
         candidate.ownAwaitingFirstByte = stats.ownAwaitingFirstByte;
         candidate.reportedWaiting = stats.reportedWaiting;
         candidate.failureScore = decayedFailureScore(stats, now);
-        candidate.hasIdleConnection = m_connectionPool.hasIdle(replica.entry.address, connectionRequest(request));
+        candidate.hasIdleConnection
+            = m_connectionPool.hasIdle(replica.entry.address, request.progress.retryClass == RetryClass::AtMostOnce);
         addPace(candidate, stats, selectionOptions, now);
         candidates.push_back(candidate);
         replicas.push_back(&replica);
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -257,11 +257,6 @@
             || reason == replicaEvacuatedReason || reason == replicaColdReason);
 }
 
-net::ConnectionRequest connectionRequest(const RequestContext& request)
-{
-    return { request.head.id, request.progress.retryClass == RetryClass::AtMostOnce };
-}
-
 base::Millis requestTimeLeft(const RequestContext& request, base::BootTime now)
 {
     return std::chrono::duration_cast<base::Millis>(request.deadline - now);
@@ -270,7 +265,8 @@
 AttemptResult attemptRun(RequestContext& request, const ReplicaEntry& replica, const WireCodec& codec,
     net::ConnectionPool& pool, ResponseMemory& memory)
 {
-    net::PooledConnection pooled = pool.acquire(replica.address, connectionRequest(request));
+    net::PooledConnection pooled
+        = pool.acquire(replica.address, { request.head.id, request.progress.retryClass == RetryClass::AtMostOnce });
     net::HttpConnection* connection = pooled.connection.get();
     ConnectionUse use;
     use.wasReused = connection->isConnected();
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -158,9 +158,6 @@
 // another one.
 bool attemptIsObsolete(const AttemptResult&);
 
-// What the request needs of its connection to a replica.
-net::ConnectionRequest connectionRequest(const RequestContext&);
-
 // Time left until the deadline.
 base::Millis requestTimeLeft(const RequestContext&, base::BootTime now);
 
--- a/src/net/ConnectionPool.cpp
+++ b/src/net/ConnectionPool.cpp
@@ -17,10 +17,9 @@
     return now < idle.expiresAt && idle.pooled.connection->isReusable();
 }
 
-bool ConnectionPool::suits(const IdleConnection& idle, const ConnectionRequest& request, base::BootTime now) const
+bool ConnectionPool::isRecentEnough(const IdleConnection& idle, bool isAtMostOnce, base::BootTime now) const
 {
-    return !request.id.empty() && !answeredContains(idle.pooled.answered, request.id)
-        && (!request.isAtMostOnce || now - idle.idleSince <= m_options.maxIdleTimeAtMostOnce);
+    return !isAtMostOnce || now - idle.idleSince <= m_options.maxIdleTimeAtMostOnce;
 }
 
 PooledConnection ConnectionPool::acquire(const base::Address& address, const ConnectionRequest& request)
@@ -31,7 +30,8 @@
         auto entry = idle.begin() + static_cast<std::ptrdiff_t>(i);
         if (!isUsable(*entry, now)) {
             idle.erase(entry);
-        } else if (suits(*entry, request, now)) {
+        } else if (!request.id.empty() && isRecentEnough(*entry, request.isAtMostOnce, now)
+            && !answeredContains(entry->pooled.answered, request.id)) {
             PooledConnection pooled = std::move(entry->pooled);
             idle.erase(entry);
             return pooled;
@@ -41,13 +41,13 @@
     return { HttpConnection::create(m_loop, address, m_options.receiveBufferBytes), {} };
 }
 
-bool ConnectionPool::hasIdle(const base::Address& address, const ConnectionRequest& request) const
+bool ConnectionPool::hasIdle(const base::Address& address, bool isAtMostOnce) const
 {
     auto found = m_idleConnections.find(base::formatAddress(address));
     base::BootTime now = base::BootClock::now();
     return found != m_idleConnections.end()
         && std::any_of(found->second.rbegin(), found->second.rend(),
-            [&](const auto& entry) { return suits(entry, request, now) && isUsable(entry, now); });
+            [&](const auto& entry) { return isRecentEnough(entry, isAtMostOnce, now) && isUsable(entry, now); });
 }
 
 void ConnectionPool::release(
--- a/src/net/ConnectionPool.h
+++ b/src/net/ConnectionPool.h
@@ -49,8 +49,9 @@
     // Returns an idle connection that the request may reuse, or a new one that is not connected yet.
     PooledConnection acquire(const base::Address&, const ConnectionRequest&);
 
-    // Whether acquire() would return an open connection.
-    bool hasIdle(const base::Address&, const ConnectionRequest&) const;
+    // Whether acquire() would return an open connection to a request whose id was not answered before. Cheap, so that
+    // it can be asked of each of many addresses.
+    bool hasIdle(const base::Address&, bool isAtMostOnce) const;
 
     // Returns a connection after its response to the request `answeredId` was read completely. `idleTimeout`: after
     // which the server closes it, if it says so. A connection that must not be reused is closed.
@@ -71,7 +72,7 @@
     };
 
     static bool isUsable(const IdleConnection&, base::BootTime now); // by any request
-    bool suits(const IdleConnection&, const ConnectionRequest&, base::BootTime now) const;
+    bool isRecentEnough(const IdleConnection&, bool isAtMostOnce, base::BootTime now) const;
 
     Loop& m_loop;
     ConnectionPoolOptions m_options;
