Do not read a cut response and the next one as one

What callers saw: requests that ran got 503, and a replica's failure became a success.

Cause: a replica that wrote a copy of a refusal only in part, and then the response that was due, left bytes that read as one head: the next status line became part of the copy's reason phrase or of a field's value, and the request's id followed it. So the copy's status was believed under the request's id. The same class: the connection's history was not asked.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -28,6 +30,22 @@
     // bytes arrive faster than they are read would never meet its timer.
     constexpr base::Millis maxLateTime { 50 };
 
+    // Whether a status line stands in the middle of a head's line: a response that was cut, and the next one after it.
+    bool containsStatusLine(std::string_view text)
+    {
+        constexpr std::string_view pattern = "HTTP/1.0 000"; // any digits
+        size_t at = text.find("HTTP/1.");
+        if (at == std::string_view::npos || text.size() - at < pattern.size())
+            return false;
+        text = text.substr(at, pattern.size());
+        for (size_t i = 0; i < pattern.size(); ++i) {
+            bool isDigit = text[i] >= '0' && text[i] <= '9';
+            if (pattern[i] == '0' ? !isDigit : text[i] != pattern[i])
+                return false;
+        }
+        return true;
+    }
+
     // Collects the body in pieces that readSome() hands on. Unlike http::string_body, it reserves no memory for the
     // length that a response announces.
     struct PieceBody {
@@ -132,6 +150,12 @@
             response.headers.clear();
             for (auto& field : m_parser->get())
                 response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            // Bytes that the server wrote after an earlier response may be the beginning of this head.
+            bool isJoined = containsStatusLine(m_parser->get().reason())
+                || std::any_of(response.headers.begin(), response.headers.end(),
+                    [](const HttpHeader& header) { return containsStatusLine(header.value); });
+            if (m_hasAnswered && isJoined)
+                return fail(HttpCallError::Malformed);
             m_isHeadRead = true;
             return HttpCallError::None;
         }
@@ -151,6 +175,7 @@
             m_parser->get().body().clear();
             if (m_parser->is_done()) {
                 isEnd = true;
+                m_hasAnswered = true;
                 m_isRequestInFlight = false;
                 if (!m_parser->keep_alive())
                     close();
@@ -240,6 +265,7 @@
         bool m_isConnected = false;
         bool m_isRequestInFlight = false;
         bool m_isHeadRead = false;
+        bool m_hasAnswered = false; // an earlier request
         bool m_isCancelled = false;
         bool m_hasTimedOut = false;
         bool m_hasSentBytes = false;
