Believe no refusal without an id after a response to another request

What callers saw: requests that ran got 503, or ran twice, where a replica wrote a response to another request and bytes that look like a refusal before the response that was due, on a new connection.

Cause: a refusal without an id is believed on a new connection, as nothing else was sent there. A response to another request shows that this does not hold.

Change: after a response to another request only one with the request's id is believed.

Found by review. Failed before: refusal_copy::a_refusal_without_id_after_a_response_to_another_request_is_not_believed, 6 of 6 requests ran twice and got 503. Passes now (1 run, beside the suite's other tests).

--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -55,9 +55,10 @@
         return base::Clock::now() + requestTimeLeft(request, BootClock::now()) + responseMargin;
     }
 
-    // Reads the head of the response to this request. Skips late responses to other requests on the same connection.
-    HttpCallError readOwnHead(
-        RequestContext& request, const WireCodec& codec, net::HttpResponse& response, ResponseHead& head)
+    // Reads the head of the response to this request. Skips late responses to other requests on the same connection,
+    // and sets `hasSkipped` then.
+    HttpCallError readOwnHead(RequestContext& request, const WireCodec& codec, net::HttpResponse& response,
+        ResponseHead& head, bool& hasSkipped)
     {
         size_t discardedBytes = 0;
         for (size_t i = 0; i <= maxForeignResponses; ++i) {
@@ -72,6 +73,7 @@
                 return HttpCallError::None;
             }
             base::counterAdd("replica_foreign_answers_total");
+            hasSkipped = true;
             bool isEnd = false;
             std::string discarded;
             while (!isEnd && error == HttpCallError::None) {
@@ -175,7 +177,8 @@
     {
         net::HttpResponse response;
         ResponseHead head;
-        HttpCallError error = readOwnHead(request, codec, response, head);
+        bool hasSkipped = false;
+        HttpCallError error = readOwnHead(request, codec, response, head, hasSkipped);
         if (error != HttpCallError::None)
             return makeCallResult(error);
         base::Duration timeToFirstByte = base::Clock::now() - use.sentAt;
@@ -190,8 +193,8 @@
             base::counterAddLabelled("replica_refusals_total", "id", head.isIdentified ? "own" : "none");
         bool isEndedByClose = !isDelimited(response);
         AttemptResult result;
-        if (use.wasReused && !head.isIdentified) {
-            // Bytes that came late, or belong to no request. Also a refusal says nothing of this one.
+        if ((use.wasReused || hasSkipped) && !head.isIdentified) {
+            // It may be a late copy, or bytes that belong to no request. Even a refusal is no evidence about this one.
             base::counterAdd("replica_answers_without_id_total");
             return makeResult(AttemptOutcome::Unknown, "answer_without_id", true);
         }
--- a/tests/RefusalCopyTests.cpp
+++ b/tests/RefusalCopyTests.cpp
@@ -168,6 +168,25 @@
     });
 }
 
+Test(refusal_copy, a_refusal_without_id_after_a_response_to_another_request_is_not_believed, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        std::map<std::string, int> runs;
+        ByteFleet bytes(loop, "plain", 2, [&](ByteConnection& connection, const net::HttpRequest& request) {
+            std::string id = requestIdOf(request);
+            ++runs[id];
+            connection.send(answerTo("00000000000000aa") + refusalOf(503, "", "") + answerTo(id));
+            connection.close();
+        });
+        for (int i = 0; i < 6; ++i) {
+            std::string id = fmt::format("{:016x}", i + 1);
+            CallerResponse response = bytes.call("/once/", id);
+            cr_expect(runs[id] == 1 && response.status == 502, "%s ran %d times, status %d", id.c_str(), runs[id],
+                response.status);
+        }
+    });
+}
+
 Test(refusal_copy, a_copy_does_not_begin_the_quiet_time_of_its_refusal_anew, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
