Soak: late copies of refusals, restarts at one address, callers that repeat an id

Callers saw requests that ran twice, and refusals of requests that ran. The soak could not meet the cause: its unreliable replica wrote a refusal once more only right before the connection's next response, and no request came back to a replica that had refused it.

The unreliable replica now writes up to two copies of a refusal, each before the next response or at a time of its own (1 to 24 ms later; with an id only), is full for a while at times, refuses requests without an id also by 400, and answers 421 with the request's id. It restarts under new ids at its address while the old entry is still listed. Callers repeat a refused request with the same id, at any gateway, and send some plain requests without an id. Violations of "once" and "refusals" list the request's timeline: what its caller sent and heard, and what the replicas did on its connections.

The copies that were believed had the id of the request that was under way again, after a refusal to the caller's try before or after a 421 within one try, or had no id, where a request without an id had been refused on the connection.

--- a/lab/ByteStandIn.h
+++ b/lab/ByteStandIn.h
@@ -22,7 +22,7 @@
 // ---- [1] Connection ----------------------------------------------------------------------------
 
 // One connection of a caller. Functions that send suspend the calling fiber.
-class ByteConnection {
+class ByteConnection : public std::enable_shared_from_this<ByteConnection> {
 public:
     virtual ~ByteConnection() = default;
 
--- a/lab/ReplicaStandIn.cpp
+++ b/lab/ReplicaStandIn.cpp
@@ -4,6 +4,13 @@
 
 using Json = nlohmann::json;
 
+std::string requestKey(const net::HttpRequest& request)
+{
+    static constexpr std::string_view bodyPrefix = "body of ";
+    std::string id(net::httpHeader(request.headers, "Request-Id"));
+    return id.empty() && request.body.starts_with(bodyPrefix) ? request.body.substr(bodyPrefix.size()) : id;
+}
+
 std::map<std::string, int> ReplicaHistory::executionsByRequest() const
 {
     std::map<std::string, int> counts;
--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -145,4 +145,7 @@
     std::shared_ptr<Impl> m_impl;
 };
 
+// Identifies a request also if it has no id: its id, or what follows "body of " in its body; see labRequest().
+std::string requestKey(const net::HttpRequest&);
+
 } // namespace rattanshunt::lab
--- a/lab/ReplicaStandInImpl.h
+++ b/lab/ReplicaStandInImpl.h
@@ -205,8 +205,8 @@
             return;
         }
         size_t executionIndex = history.executions.size();
-        history.executions.push_back({ id, std::string(net::httpHeader(request.headers, "Tenant")), model,
-            std::string(net::httpHeader(request.headers, "Last-Event-Id")),
+        history.executions.push_back({ requestKey(request), std::string(net::httpHeader(request.headers, "Tenant")),
+            model, std::string(net::httpHeader(request.headers, "Last-Event-Id")),
             !net::httpHeader(request.headers, "Authorization").empty(), false, base::Clock::now(), {} });
         ++runningRequests;
         ++runningByModel[model];
@@ -232,7 +232,7 @@
         net::sleepFor(options.processingTime);
         if (faults.crashingBodies.contains(exchange.request().body))
             return crash(exchange.request().body);
-        std::string body = "answer to " + id;
+        std::string body = "answer to " + requestKey(exchange.request());
         switch (fault) {
         case ReplicaFault::Fail:
             exchange.respond({ 500, responseHeaders(id), "failed" });
--- a/lab/Soak.cpp
+++ b/lab/Soak.cpp
@@ -1,4 +1,4 @@
-// Kept in one class and one file because processes, faults, callers and checks share the state of a run.
+// Kept in one class because processes, faults and callers share the state of a run.
 #include "Soak.h"
 
 #include <csignal>
@@ -6,8 +6,8 @@
 #include <fstream>
 #include <map>
 #include <random>
-#include <set>
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -15,24 +15,17 @@
 #include "FaultProxy.h"
 #include "GatewayFleet.h"
 #include "GatewayProcess.h"
-#include "ReplicaStandIn.h"
+#include "SoakChecks.h"
 #include "StoreStandIn.h"
-#include "UnreliableReplica.h"
 
 namespace rattanshunt::lab {
 
 namespace {
 
-    constexpr double accountRate = 600;    // tokens per second
-    constexpr double accountBurst = 2000;  // tokens
-    constexpr double quotaSlack = 4000;    // tokens; the --quota_slack of the daemons
-    constexpr double usageTolerance = 0.1; // fraction of the quota in a window
-    constexpr base::Seconds usageWindow { 8 };
-    constexpr base::Millis maxRevocationDelay { 5000 };
-    constexpr base::Millis maxReplicaRemovalDelay { 5000 }; // gateways serve no keyed request on older knowledge
-    constexpr base::Millis executionDelayTolerance { 400 }; // from a caller's sending to the start of execution
     constexpr double minRecoveredFraction = 0.9;
     constexpr const char* apiKeys[] = { "secret-1", "secret-2" };
+    constexpr int maxTries = 4;               // of a request that is refused
+    constexpr uint64_t unidentifiedOneIn = 6; // of the plain requests that callers send without an id
 
     struct DaemonProcess {
         std::string name;
@@ -47,14 +40,6 @@
         base::TimePoint restartAt = base::timeNever; // time of the next start
     };
 
-    struct SentRequest {
-        std::string route;
-        std::string apiKey;
-        base::TimePoint sentAt {};
-        bool wasRefused = false; // status 429, 503, 408 or 421
-        int status = 0;
-    };
-
     class Soak {
     public:
         Soak(net::Loop& loop, const SoakOptions& options)
@@ -67,7 +52,7 @@
 
         SoakResult run()
         {
-            m_startedAt = base::Clock::now();
+            m_record.startedAt = base::Clock::now();
             std::string error;
             m_store.listen(error);
             m_store.put("op/config", configuration());
@@ -75,14 +60,19 @@
             startProcesses();
             m_loop.spawn([this] { watchProcesses(); });
             waitReady();
-            m_startedAt = base::Clock::now();
+            m_record.startedAt = base::Clock::now();
+            m_result.startedAt = std::chrono::system_clock::now();
             for (int i = 0; i < m_options.callers; ++i)
                 m_loop.spawn([this, i] { callerLoop(static_cast<uint64_t>(i)); });
-            while (base::Clock::now() - m_startedAt < m_options.faultDuration) {
-                injectFault();
+            for (size_t i = 0; i < m_record.unreliableReplicas.size(); ++i)
+                m_loop.spawn([this, i] { restartLoop(i); });
+            while (base::Clock::now() - m_record.startedAt < m_options.faultDuration) {
+                if (m_options.injectsFaults)
+                    injectFault();
                 net::sleepFor(base::Millis(randomBetween(150, 900)));
             }
-            net::sleepFor(base::Seconds(9)); // the longest fault, a drain
+            if (m_options.injectsFaults && !m_record.replicas.empty())
+                net::sleepFor(base::Seconds(9)); // the longest fault, a drain
             endFaults();
             base::TimePoint healed = base::Clock::now();
             m_recoveredAt = healed + m_options.recoveryTime;
@@ -103,7 +93,7 @@
             if (m_result.violations.size() < 20)
                 m_result.violations.push_back(fmt::format("{:.3f} s: {}", elapsed(), text));
         }
-        double elapsed() const { return base::secondsOf(base::Clock::now() - m_startedAt); }
+        double elapsed() const { return base::secondsOf(base::Clock::now() - m_record.startedAt); }
         void addFault(const std::string& text)
         {
             m_result.injectedFaults.push_back(fmt::format("{:.3f} s: {}", elapsed(), text));
@@ -113,10 +103,10 @@
         {
             std::string keyList;
             for (size_t i = 0; i < std::size(apiKeys); ++i) {
-                if (!m_revokedAt.contains(apiKeys[i]))
+                if (!m_record.revokedAt.contains(apiKeys[i]))
                     keyList += fmt::format("{}\"{}\"", keyList.empty() ? "" : ",", apiKeys[i]);
             }
-            return labConfiguration(++m_version, accountRate, accountBurst, keyList);
+            return labConfiguration(++m_version, soakAccountRate, soakAccountBurst, keyList);
         }
 
         // ---- Processes -------------------------------------------------------------------------
@@ -134,9 +124,9 @@
                     options.modelSizesMb = { { "m1", 40 }, { "m2", 40 }, { "m3", 40 } };
                     options.loadedModels = { i % 2 ? "m1" : "m2" };
                 }
-                m_replicas.push_back(std::make_unique<ReplicaStandIn>(m_loop, options));
-                m_replicas.back()->listen(error);
-                m_replicaProxies.push_back(std::make_unique<FaultProxy>(m_loop, m_replicas.back()->address()));
+                m_record.replicas.push_back(std::make_unique<ReplicaStandIn>(m_loop, options));
+                m_record.replicas.back()->listen(error);
+                m_replicaProxies.push_back(std::make_unique<FaultProxy>(m_loop, m_record.replicas.back()->address()));
                 m_replicaProxies.back()->listen(error);
                 m_drainingSince.push_back(base::timeNever);
                 publishEntry(static_cast<size_t>(i), false);
@@ -145,15 +135,32 @@
                 UnreliableReplicaOptions options;
                 options.id = fmt::format("u-{}", i);
                 options.seed = m_options.seed * 100 + static_cast<uint64_t>(i);
-                m_unreliableReplicas.push_back(std::make_unique<UnreliableReplica>(m_loop, options));
-                m_unreliableReplicas.back()->listen(error);
-                m_store.put("servers/" + options.id, m_unreliableReplicas.back()->entry());
+                m_record.unreliableReplicas.push_back(std::make_unique<UnreliableReplica>(m_loop, options));
+                m_record.unreliableReplicas.back()->listen(error);
+                m_store.put("servers/" + options.id, m_record.unreliableReplicas.back()->entry());
+            }
+        }
+
+        // Restarts an unreliable replica at its address under other ids. The entry of the last one remains for a while.
+        void restartLoop(size_t index)
+        {
+            UnreliableReplica& replica = *m_record.unreliableReplicas[index];
+            std::mt19937_64 random(m_options.seed * 10000 + index);
+            for (int i = 1; true; ++i) {
+                net::sleepFor(base::Millis(500 + random() % 1500));
+                if (m_haveFaultsEnded)
+                    return;
+                std::string lastId = replica.id();
+                replica.restart(fmt::format("u-{}-{}", index, i));
+                m_store.put("servers/" + replica.id(), replica.entry());
+                net::sleepFor(base::Millis(200 + random() % 1800));
+                m_store.remove("servers/" + lastId);
             }
         }
 
         void publishEntry(size_t index, bool isDraining)
         {
-            std::string entry = m_replicas[index]->entry(isDraining, m_replicaProxies[index]->address());
+            std::string entry = m_record.replicas[index]->entry(isDraining, m_replicaProxies[index]->address());
             m_store.put("servers/i-" + std::to_string(index), entry);
             m_drainingSince[index] = isDraining ? base::Clock::now() : base::timeNever;
         }
@@ -177,7 +184,8 @@
                                     "--revoke_ms={}\n--quota_slack={}\n--grace_seconds=4\n",
                     process->name, base::formatAddress(process->clientAddress),
                     base::formatAddress(process->readinessAddress), freePort(), freePort(),
-                    base::formatAddress(process->storeProxy->address()), maxRevocationDelay.count(), quotaSlack);
+                    base::formatAddress(process->storeProxy->address()), soakMaxRevocationDelay.count(),
+                    soakQuotaSlack);
                 file.close();
                 startProcess(*process);
                 m_processes.push_back(std::move(process));
@@ -302,15 +310,17 @@
 
         void injectReplicaFault()
         {
-            auto index = static_cast<size_t>(randomBetween(0, static_cast<int>(m_replicas.size()) - 1));
+            if (m_record.replicas.empty())
+                return;
+            auto index = static_cast<size_t>(randomBetween(0, static_cast<int>(m_record.replicas.size()) - 1));
             int durationMs = randomBetween(300, 4000);
             int kind = randomBetween(0, 3);
             if (kind == 0) {
                 auto fault = static_cast<ReplicaFault>(randomBetween(1, 7));
                 addFault(fmt::format("replica {} with fault {} for {} ms", index, static_cast<int>(fault), durationMs));
-                m_replicas[index]->faults().fault = fault;
-                m_replicas[index]->faults().remainingRequests = -1;
-                runAfter(durationMs, [this, index] { m_replicas[index]->faults().remainingRequests = 0; });
+                m_record.replicas[index]->faults().fault = fault;
+                m_record.replicas[index]->faults().remainingRequests = -1;
+                runAfter(durationMs, [this, index] { m_record.replicas[index]->faults().remainingRequests = 0; });
             } else if (kind == 1) {
                 auto mode = static_cast<ProxyMode>(randomBetween(1, 5));
                 addFault(fmt::format(
@@ -319,8 +329,9 @@
                 runAfter(durationMs, [this, index] { m_replicaProxies[index]->setMode(ProxyMode::Pass); });
             } else if (kind == 2) {
                 addFault(fmt::format("orders to replica {} delayed for {} ms", index, durationMs));
-                m_replicas[index]->faults().orderDelay = base::Millis(randomBetween(500, 4000));
-                runAfter(durationMs, [this, index] { m_replicas[index]->faults().orderDelay = base::Millis(0); });
+                m_record.replicas[index]->faults().orderDelay = base::Millis(randomBetween(500, 4000));
+                runAfter(
+                    durationMs, [this, index] { m_record.replicas[index]->faults().orderDelay = base::Millis(0); });
             } else if (m_drainingSince[index] == base::timeNever) {
                 addFault(fmt::format("replica {} drains for 9 s", index));
                 publishEntry(index, true);
@@ -330,12 +341,12 @@
 
         void changeConfiguration()
         {
-            if (randomBetween(0, 1) == 0 && m_revokedAt.empty()) {
+            if (randomBetween(0, 1) == 0 && m_record.revokedAt.empty()) {
                 // The last key is removed from the configuration for the rest of the run.
                 const char* key = apiKeys[1];
-                m_revokedAt[key] = base::timeNever;
+                m_record.revokedAt[key] = base::timeNever;
                 m_store.put("op/config", configuration());
-                m_revokedAt[key] = base::Clock::now();
+                m_record.revokedAt[key] = base::Clock::now();
                 bool isStoreHanging = randomBetween(0, 1) == 0;
                 addFault(isStoreHanging ? "key revoked, and the store hangs for 8 s" : "key revoked");
                 if (isStoreHanging) {
@@ -367,15 +378,16 @@
 
         void endFaults()
         {
+            m_haveFaultsEnded = true;
             m_store.faults() = {};
             for (auto& proxy : m_replicaProxies)
                 proxy->setMode(ProxyMode::Pass);
-            for (size_t i = 0; i < m_replicas.size(); ++i) {
-                m_replicas[i]->faults() = {};
+            for (size_t i = 0; i < m_record.replicas.size(); ++i) {
+                m_record.replicas[i]->faults() = {};
                 if (m_drainingSince[i] != base::timeNever)
                     publishEntry(i, false);
             }
-            for (auto& replica : m_unreliableReplicas)
+            for (auto& replica : m_record.unreliableReplicas)
                 replica->makeReliable();
             for (auto& process : m_processes)
                 process->storeProxy->setMode(ProxyMode::Pass);
@@ -388,48 +400,56 @@
         {
             std::mt19937_64 random(m_options.seed * 1000 + number);
             std::unique_ptr<net::HttpConnection> connection;
+            size_t gateway = 0;
             while (!m_isDone) {
                 static constexpr const char* routes[] = { "safe", "once", "stream", "single" };
                 static constexpr const char* models[] = { "m1", "m2", "m3", "m1/a1", "m2/a2" };
-                std::string route = routes[random() % 4];
+                std::string route = routes[random() % (m_options.engineReplicas ? 4 : 2)];
                 std::string model = route.starts_with("s") && route != "safe" ? models[random() % 5] : "";
                 std::string id = fmt::format("{:08x}{:08x}", number, ++m_lastId);
                 std::string key = apiKeys[random() % 4 == 0];
-                // A connection is reused until its process closes it.
-                if (!connection || !connection->isReusable()) {
-                    connection = net::HttpConnection::create(
-                        m_loop, m_processes[random() % m_processes.size()]->clientAddress);
+                net::HttpRequest request = labRequest("/" + route + "/", id, model, key);
+                if (model.empty() && random() % unidentifiedOneIn == 0)
+                    std::erase_if(request.headers, [](auto& header) { return header.name == "Request-Id"; });
+                m_record.sentRequests[id] = { route, key, {} };
+                for (int i = 0; i < maxTries; ++i) {
+                    // A connection is reused until its process closes it, but for another try.
+                    if (!connection || !connection->isReusable() || i) {
+                        if (!i || random() % 2)
+                            gateway = random() % m_processes.size();
+                        connection = net::HttpConnection::create(m_loop, m_processes[gateway]->clientAddress);
+                    }
+                    if (!isRefusal(sendRequest(*connection, request, m_processes[gateway]->name)) || random() % 4 == 0)
+                        break;
+                    net::sleepFor(base::Millis(random() % 10));
                 }
-                sendRequest(*connection, route, id, model, key);
                 net::sleepFor(base::Millis(10 + random() % 90));
             }
             ++m_callersFinished;
         }
 
-        void sendRequest(net::HttpConnection& connection, const std::string& route, const std::string& id,
-            const std::string& model, const std::string& key)
+        // Returns the status, or 0 without a response.
+        int sendRequest(net::HttpConnection& connection, const net::HttpRequest& request, const std::string& gateway)
         {
-            SentRequest& sent = m_sentRequests[id];
-            sent = { route, key, base::Clock::now(), false, 0 };
-            net::HttpResult result = net::httpCall(
-                connection, labRequest("/" + route + "/", id, model, key), base::Clock::now() + base::Seconds(6));
+            std::string key = requestKey(request);
+            SentRequest& sent = m_record.sentRequests[key];
+            base::TimePoint sentAt = base::Clock::now();
+            sent.tries.push_back({ gateway, sentAt, base::timeNever, 0 });
+            net::HttpResult result = net::httpCall(connection, request, sentAt + base::Seconds(6));
+            sent.tries.back().heardAt = base::Clock::now();
             ++m_result.requests;
-            bool isAfterRecovery = sent.sentAt >= m_recoveredAt;
-            bool isKeyValid = !m_revokedAt.contains(key);
-            m_result.requestsAfterRecovery += isAfterRecovery && isKeyValid;
+            bool isCounted = sentAt >= m_recoveredAt && !m_record.revokedAt.contains(sent.apiKey);
+            m_result.requestsAfterRecovery += isCounted;
             if (result.error != net::HttpCallError::None)
-                return;
-            sent.status = result.response.status;
-            sent.wasRefused = sent.status == 429 || sent.status == 503 || sent.status == 408 || sent.status == 421;
-            if (sent.status != 200) {
-                // A quota refusal counts as served: it is the configured behavior.
-                m_result.servedAfterRecovery += isAfterRecovery && isKeyValid && sent.status == 429;
-                return;
-            }
-            ++m_result.served;
-            m_result.servedAfterRecovery += isAfterRecovery && isKeyValid;
-            if (model.empty() ? result.response.body != "answer to " + id : result.response.body != allEvents())
-                addViolation(fmt::format("whole: {} on {} got other bytes: {}", id, route, result.response.body));
+                return 0;
+            int status = sent.tries.back().status = result.response.status;
+            // A quota refusal counts as served: it is the configured behavior.
+            m_result.servedAfterRecovery += isCounted && (status == 200 || status == 429);
+            m_result.served += status == 200;
+            bool isStream = !net::httpHeader(request.headers, "Model").empty();
+            if (status == 200 && result.response.body != (isStream ? allEvents() : "answer to " + key))
+                addViolation(fmt::format("whole: {} on {} got other bytes: {}", key, sent.route, result.response.body));
+            return status;
         }
 
         static std::string allEvents()
@@ -455,9 +475,9 @@
                 kill(process->pid, SIGKILL);
                 waitpid(process->pid, nullptr, 0);
             }
-            for (auto& replica : m_replicas)
+            for (auto& replica : m_record.replicas)
                 replica->stop();
-            for (auto& replica : m_unreliableReplicas)
+            for (auto& replica : m_record.unreliableReplicas)
                 replica->stop();
             for (auto& proxy : m_replicaProxies)
                 proxy->stop();
@@ -469,42 +489,8 @@
 
         void check()
         {
-            std::map<std::string, int> executionCounts;
-            std::vector<std::pair<base::TimePoint, double>> usage;
-            std::map<int64_t, std::string> holders;
-            for (size_t i = 0; i < m_replicas.size(); ++i) {
-                const ReplicaHistory& history = m_replicas[i]->history();
-                if (history.wasOvercommitted)
-                    addViolation(fmt::format("orders: replica {} was ordered to hold more than fits", i));
-                for (const AcceptedOrder& order : history.acceptedOrders) {
-                    auto [known, isNew] = holders.emplace(order.fencingToken, order.hub);
-                    if (!isNew && known->second != order.hub)
-                        addViolation(fmt::format(
-                            "orders: {} and {} use token {}", order.hub, known->second, order.fencingToken));
-                }
-                for (const RequestExecution& execution : history.executions) {
-                    ++executionCounts[execution.requestId];
-                    checkExecution(execution, i);
-                    auto sent = m_sentRequests.find(execution.requestId);
-                    if (sent != m_sentRequests.end())
-                        usage.emplace_back(execution.startedAt, execution.model.empty() ? 10 : 100);
-                }
-            }
-            for (auto& replica : m_unreliableReplicas) {
-                for (const auto& [id, count] : replica->runs()) {
-                    executionCounts[id] += count;
-                    if (m_sentRequests.contains(id))
-                        usage.emplace_back(m_sentRequests[id].sentAt, 10.0 * count);
-                }
-            }
-            for (auto& [id, sent] : m_sentRequests) {
-                bool isAtMostOnce = sent.route == "once" || sent.route == "single";
-                if (isAtMostOnce && executionCounts[id] > 1)
-                    addViolation(fmt::format("once: {} on {} ran {} times", id, sent.route, executionCounts[id]));
-                if (isAtMostOnce && sent.wasRefused && executionCounts[id] > 0)
-                    addViolation(fmt::format("refusals: {} got {} and ran", id, sent.status));
-            }
-            checkUsage(usage);
+            for (const std::string& violation : soakViolations(m_record))
+                addViolation(violation);
             double servedFraction = m_result.requestsAfterRecovery ? static_cast<double>(m_result.servedAfterRecovery)
                     / static_cast<double>(m_result.requestsAfterRecovery)
                                                                    : 0;
@@ -513,63 +499,20 @@
                     m_result.requestsAfterRecovery));
         }
 
-        void checkExecution(const RequestExecution& execution, size_t index)
-        {
-            auto sent = m_sentRequests.find(execution.requestId);
-            if (sent == m_sentRequests.end()) {
-                addViolation("whole: a request ran that no caller sent: " + execution.requestId);
-                return;
-            }
-            if (execution.hadApiKey || execution.account != "acme")
-                addViolation("keys: the key was forwarded, or the account header is wrong");
-            auto taken = m_revokedAt.find(sent->second.apiKey);
-            if (taken != m_revokedAt.end() && sent->second.sentAt > taken->second + maxRevocationDelay)
-                addViolation(fmt::format("keys: {} was sent {:.3f} s after its key was revoked, and ran",
-                    execution.requestId, base::secondsOf(sent->second.sentAt - taken->second)));
-            for (auto& [since, until] : m_replicas[index]->drainPeriods()) {
-                if (execution.startedAt > since + maxReplicaRemovalDelay + executionDelayTolerance
-                    && execution.startedAt < until && sent->second.sentAt > since + maxReplicaRemovalDelay)
-                    addViolation(fmt::format("drain: {} reached replica {} {:.3f} s after it began to drain",
-                        execution.requestId, index, base::secondsOf(execution.startedAt - since)));
-            }
-        }
-
-        void checkUsage(std::vector<std::pair<base::TimePoint, double>>& usage)
-        {
-            std::sort(usage.begin(), usage.end());
-            double sum = 0;
-            size_t first = 0;
-            double maxTokens
-                = (accountRate * base::secondsOf(usageWindow) + accountBurst) * (1 + usageTolerance) + quotaSlack;
-            for (size_t i = 0; i < usage.size(); ++i) {
-                sum += usage[i].second;
-                while (usage[first].first <= usage[i].first - usageWindow)
-                    sum -= usage[first++].second;
-                if (sum > maxTokens) {
-                    addViolation(
-                        fmt::format("usage: {} tokens ran in {} s, allowed {}", sum, usageWindow.count(), maxTokens));
-                    return;
-                }
-            }
-        }
-
         net::Loop& m_loop;
         SoakOptions m_options;
         std::mt19937_64 m_random;
         StoreStandIn m_store;
-        std::vector<std::unique_ptr<ReplicaStandIn>> m_replicas;
-        std::vector<std::unique_ptr<UnreliableReplica>> m_unreliableReplicas;
-        std::vector<std::unique_ptr<FaultProxy>> m_replicaProxies; // in front of m_replicas
+        SoakRecord m_record;
+        std::vector<std::unique_ptr<FaultProxy>> m_replicaProxies; // in front of the replicas
         std::vector<base::TimePoint> m_drainingSince;              // by replica; timeNever: not draining
         std::vector<std::unique_ptr<DaemonProcess>> m_processes;
-        std::map<std::string, SentRequest> m_sentRequests;  // by request identifier
-        std::map<std::string, base::TimePoint> m_revokedAt; // by key
         SoakResult m_result;
-        base::TimePoint m_startedAt {};
         base::TimePoint m_recoveredAt = base::timeNever;
         int m_version = 0;
         uint64_t m_lastId = 0;
         int m_callersFinished = 0;
+        bool m_haveFaultsEnded = false;
         bool m_isDone = false;
     };
 
@@ -590,6 +533,9 @@
     for (const std::string& violation : result.violations)
         text += "  violation " + violation + "\n";
     if (!result.violations.empty()) {
+        auto millis = std::chrono::time_point_cast<std::chrono::milliseconds>(result.startedAt);
+        text += fmt::format("  started at {:%T}.{:03}Z\n", std::chrono::time_point_cast<std::chrono::seconds>(millis),
+            millis.time_since_epoch().count() % 1000);
         for (const std::string& fault : result.injectedFaults)
             text += "  fault " + fault + "\n";
     }
--- a/lab/Soak.h
+++ b/lab/Soak.h
@@ -6,7 +6,7 @@
 //
 // Invariants, by the prefix of their violations:
 //   whole      a successful response is byte for byte the replica's; a stream has all its events once and in order
-//   once       a request that may be executed at most once was not executed more often
+//   once       a request that may be executed at most once was not executed more often, also over its caller's tries
 //   refusals   a request that was refused as not executed has not been executed, at that time or later
 //   keys       no request is executed if it was sent longer after its key's revocation than the limit allows
 //   drain      no request reaches a replica that has been draining for longer than a gateway's knowledge may be old
@@ -31,16 +31,18 @@
     base::Seconds recoveryTime { 7 };   // after the faults; the 3 s that follow are measured
     int daemons = 3;
     int plainReplicas = 2;
-    int engineReplicas = 3;
-    int unreliableReplicas = 1; // see UnreliableReplica.h
+    int engineReplicas = 3;     // without any, callers send plain requests only
+    int unreliableReplicas = 1; // plain ones that also restart; see UnreliableReplica.h
     int callers = 8;
-    std::string program;   // path of the rattanshunt binary
-    std::string directory; // for settings and logs; the caller keeps it if there are violations
+    bool injectsFaults = true; // besides those of unreliable replicas
+    std::string program;       // path of the rattanshunt binary
+    std::string directory;     // for settings and logs; the caller keeps it if there are violations
 };
 
 struct SoakResult {
     std::vector<std::string> violations;
     std::vector<std::string> injectedFaults; // with seconds since the start
+    std::chrono::system_clock::time_point startedAt {};
     uint64_t requests = 0;
     uint64_t served = 0;
     uint64_t servedAfterRecovery = 0; // in the last 3 s
--- a/lab/UnreliableReplica.cpp
+++ b/lab/UnreliableReplica.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "ReplicaStandIn.h"
 #include "net/Loop.h"
 
 namespace rattanshunt::lab {
@@ -11,7 +12,8 @@
 }
 
 UnreliableReplica::UnreliableReplica(net::Loop& loop, UnreliableReplicaOptions options)
-    : m_options(std::move(options))
+    : m_loop(loop)
+    , m_options(std::move(options))
     , m_random(m_options.seed)
     , m_server(
           loop, [this](ByteConnection& connection, const net::HttpRequest& request) { respond(connection, request); })
@@ -25,9 +27,24 @@
 
 void UnreliableReplica::makeReliable()
 {
+    m_isReliable = true;
     m_options.refusedFraction = 0;
+    m_options.fullFraction = 0;
+    m_options.copiedFraction = 0;
     m_options.brokenFraction = 0;
-    m_copies.clear();
+    m_fullUntil = {};
+    for (auto& [connection, channel] : m_channels)
+        channel.copies.clear();
+}
+
+void UnreliableReplica::restart(const std::string& id)
+{
+    m_options.id = id;
+    m_fullUntil = {};
+    for (auto& [key, channel] : std::exchange(m_channels, {})) {
+        if (auto connection = channel.connection.lock())
+            connection->reset();
+    }
 }
 
 std::string UnreliableReplica::entry() const
@@ -40,39 +57,85 @@
     return std::uniform_real_distribution<>(0, 1)(m_random) < fraction;
 }
 
-std::string UnreliableReplica::refusal(const std::string& requestId)
+base::Millis UnreliableReplica::drawTime(base::Millis maxTime)
 {
-    static constexpr int statuses[] = { 503, 429, 421 };
-    std::string id = draw(m_options.unidentifiedFraction) ? "" : "Request-Id: " + requestId + "\r\n";
-    return fmt::format(
-        "HTTP/1.1 {} Refused\r\n{}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", statuses[m_random() % 3], id);
+    return base::Millis(std::uniform_int_distribution<int64_t>(1, maxTime.count())(m_random));
 }
 
-void UnreliableReplica::respond(ByteConnection& connection, const net::HttpRequest& request)
+void UnreliableReplica::record(const std::string& key, int channelNumber, const std::string& text, bool isCopy)
 {
-    if (connection.requestNumber() == 0)
-        m_copies[&connection].clear();
-    std::string id(net::httpHeader(request.headers, "Request-Id"));
-    std::string copy = std::exchange(m_copies[&connection], "");
-    if (net::httpHeader(request.headers, "Expect-Instance") != m_options.id) {
-        connection.send(copy + "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
-        return;
-    }
-    if (draw(m_options.refusedFraction)) {
-        std::string text = refusal(id);
-        if (draw(m_options.copiedFraction))
-            m_copies[&connection] = text;
-        connection.send(copy + text);
+    m_events.push_back({ base::Clock::now(), key, channelNumber, text, isCopy });
+}
+
+// Without an id, only the place of a copy tells whose it is: it is written before the next response, never at a time
+// of its own.
+void UnreliableReplica::copyRefusal(
+    Channel& channel, const std::string& key, const std::string& text, bool isIdentified)
+{
+    if (!draw(m_options.copiedFraction))
         return;
+    int count = std::uniform_int_distribution<int>(1, m_options.maxCopies)(m_random);
+    for (int i = 0; i < count; ++i) {
+        if (!isIdentified || !draw(m_options.lateFraction)) {
+            channel.copies += text;
+            channel.copiesOf += fmt::format(" {}{}", key, isIdentified ? "" : " (without an id)");
+            continue;
+        }
+        base::Millis delay = drawTime(m_options.maxCopyDelay);
+        m_loop.spawn([this, weak = channel.connection, number = channel.number, key, text, delay] {
+            net::sleepFor(delay);
+            auto connection = weak.lock();
+            if (m_isReliable || !connection || !connection->isOpen())
+                return;
+            record(key, number, "writes a late copy of its refusal", true);
+            connection->send(text);
+        });
     }
-    ++m_runs[id];
-    net::sleepFor(m_options.processingTime);
-    std::string body = "answer to " + id;
-    std::string answer
-        = fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Seal: {}\r\nContent-Length: {}\r\n\r\n{}", id, seal,
-            body.size(), body);
-    if (!draw(m_options.brokenFraction)) {
-        connection.send(copy + answer);
+}
+
+void UnreliableReplica::respond(ByteConnection& connection, const net::HttpRequest& request)
+{
+    Channel& channel = m_channels[&connection];
+    if (connection.requestNumber() == 0 || !channel.number)
+        channel = { connection.weak_from_this(), ++m_lastChannel, "", "" };
+    std::string key = requestKey(request);
+    Channel due = std::exchange(channel, { channel.connection, channel.number, "", "" });
+    bool isMisdirected = net::httpHeader(request.headers, "Expect-Instance") != m_options.id;
+    base::TimePoint now = base::Clock::now();
+    if (now >= m_fullUntil && draw(m_options.fullFraction))
+        m_fullUntil = now + drawTime(m_options.maxFullTime);
+    if (!isMisdirected && now >= m_fullUntil && !draw(m_options.refusedFraction))
+        return answer(connection, request, due);
+
+    std::string id(net::httpHeader(request.headers, "Request-Id"));
+    static constexpr int statuses[] = { 503, 429, 421, 400 };
+    int status = isMisdirected ? 421 : now < m_fullUntil ? 503 : statuses[m_random() % (id.empty() ? 4 : 3)];
+    bool isIdentified = !id.empty() && (isMisdirected || !draw(m_options.unidentifiedFraction));
+    std::string text = fmt::format("HTTP/1.1 {} Refused\r\n{}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status,
+        isIdentified ? "Request-Id: " + id + "\r\n" : "");
+    if (!due.copies.empty())
+        record(key, due.number, "writes copies of the refusals of" + due.copiesOf, true);
+    record(key, due.number, fmt::format("refused: {}{}", status, isIdentified ? "" : ", without an id"));
+    copyRefusal(channel, key, text, isIdentified);
+    connection.send(due.copies + text);
+}
+
+void UnreliableReplica::answer(ByteConnection& connection, const net::HttpRequest& request, const Channel& due)
+{
+    std::string key = requestKey(request);
+    std::string id(net::httpHeader(request.headers, "Request-Id"));
+    ++m_runs[key];
+    record(key, due.number, fmt::format("ran, as {}", m_options.id));
+    net::sleepFor(drawTime(m_options.maxProcessingTime));
+    if (!due.copies.empty())
+        record(key, due.number, "writes copies of the refusals of" + due.copiesOf, true);
+    std::string body = "answer to " + key;
+    std::string answer = fmt::format("HTTP/1.1 200 OK\r\n{}Server-Seal: {}\r\nContent-Length: {}\r\n\r\n{}",
+        id.empty() ? "" : "Request-Id: " + id + "\r\n", seal, body.size(), body);
+    bool isBroken = draw(m_options.brokenFraction);
+    record(key, due.number, isBroken ? "answers and breaks the connection" : "answered");
+    if (!isBroken) {
+        connection.send(due.copies + answer);
         return;
     }
     switch (m_random() % 5) {
@@ -81,13 +144,13 @@
     case 1:
         return connection.reset();
     case 2: // in the middle
-        connection.send(copy + answer.substr(0, m_random() % answer.size()));
+        connection.send(due.copies + answer.substr(0, m_random() % answer.size()));
         return connection.close();
     case 3:
-        connection.send(copy + answer.substr(0, m_random() % answer.size()));
+        connection.send(due.copies + answer.substr(0, m_random() % answer.size()));
         return connection.reset();
     default: // after the whole answer, which may be lost with the connection
-        connection.send(copy + answer);
+        connection.send(due.copies + answer);
         return connection.reset();
     }
 }
--- a/lab/UnreliableReplica.h
+++ b/lab/UnreliableReplica.h
@@ -1,13 +1,16 @@
 // Simulated plain replica that breaks the order of its responses and connections as real servers, kernels and networks
-// do, at random: it writes a refusal once more before a later response, leaves ids out, answers and resets, or closes
-// before, in or after an answer. It counts what it ran.
+// do, at random: it writes a refusal once more, late, also while the connection's next request runs; leaves ids out;
+// answers and resets, or closes before, in or after an answer; is full for a while; and restarts under another id at
+// its address. It records what it ran, refused and wrote.
 //
 // Thread safety: use from the loop's thread only.
 #pragma once
 
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "ByteStandIn.h"
 
@@ -17,10 +20,23 @@
     std::string id = "u-1";
     uint64_t seed = 1;
     double refusedFraction = 0.3;      // of requests, which it does not run
-    double copiedFraction = 0.7;       // of refusals, that it writes once more before the connection's next response
-    double unidentifiedFraction = 0.5; // of refusals, without a Request-Id
+    double fullFraction = 0.02;        // of requests, at which it refuses all for up to maxFullTime
+    double copiedFraction = 0.7;       // of refusals, that it writes again, up to maxCopies times
+    double lateFraction = 0.6;         // of copies with an id, that it writes at a time of their own
+    double unidentifiedFraction = 0.3; // of refusals, without a Request-Id
     double brokenFraction = 0.15;      // of the others, at which the connection ends early
-    base::Millis processingTime { 5 };
+    int maxCopies = 2;
+    base::Millis maxCopyDelay { 24 }; // of late copies; the others come before the connection's next response
+    base::Millis maxFullTime { 200 };
+    base::Millis maxProcessingTime { 12 };
+};
+
+struct UnreliableReplicaEvent {
+    base::TimePoint at {};
+    std::string request; // requestKey()
+    int connection = 0;  // counted from 1
+    std::string text;
+    bool isCopy = false;
 };
 
 class UnreliableReplica {
@@ -29,21 +45,38 @@
 
     bool listen(std::string& error);
     void stop() { m_server.stop(); }
-    void makeReliable(); // answers all requests in order from now on
+    void makeReliable();                 // answers all requests in order from now on
+    void restart(const std::string& id); // ends its connections, and goes on at the same address
 
     std::string entry() const;                                        // its directory entry
-    const std::map<std::string, int>& runs() const { return m_runs; } // by request id
+    const std::map<std::string, int>& runs() const { return m_runs; } // by requestKey()
+    const std::vector<UnreliableReplicaEvent>& events() const { return m_events; }
     const std::string& id() const { return m_options.id; }
 
 private:
+    struct Channel {
+        std::weak_ptr<ByteConnection> connection;
+        int number = 0;
+        std::string copies;   // to be written before the next response
+        std::string copiesOf; // of whose refusals
+    };
+
     void respond(ByteConnection&, const net::HttpRequest&);
+    void answer(ByteConnection&, const net::HttpRequest&, const Channel&);
+    void copyRefusal(Channel&, const std::string& key, const std::string& text, bool isIdentified);
+    void record(const std::string& key, int channelNumber, const std::string& text, bool isCopy = false);
     bool draw(double fraction);
-    std::string refusal(const std::string& requestId);
+    base::Millis drawTime(base::Millis maxTime); // at least 1 ms
 
+    net::Loop& m_loop;
     UnreliableReplicaOptions m_options;
     std::mt19937_64 m_random;
-    std::map<ByteConnection*, std::string> m_copies; // bytes to be written before the connection's next response
+    std::map<ByteConnection*, Channel> m_channels;
     std::map<std::string, int> m_runs;
+    std::vector<UnreliableReplicaEvent> m_events;
+    base::TimePoint m_fullUntil {};
+    int m_lastChannel = 0;
+    bool m_isReliable = false;
     ByteStandIn m_server;
 };
 
--- a/lab/main/Main.cpp
+++ b/lab/main/Main.cpp
@@ -61,6 +61,9 @@
 DEFINE_int32(seeds, 1, "number of consecutive soaks, with seeds from --seed on");
 DEFINE_int32(daemons, 3, "number of gateway processes, for soak");
 DEFINE_int32(callers, 8, "number of concurrent callers, for soak");
+DEFINE_int32(plain_replicas, 2, "number of plain replicas that keep the order of their responses, for soak");
+DEFINE_int32(engine_replicas, 3, "number of engine replicas, for soak; without any, callers send plain requests only");
+DEFINE_int32(unreliable_replicas, 1, "number of plain replicas that write refusals again and restart, for soak");
 DEFINE_bool(json, false, "print JSON");
 
 namespace {
@@ -323,6 +326,9 @@
         options.faultDuration = base::Seconds(static_cast<int64_t>(FLAGS_seconds));
         options.daemons = FLAGS_daemons;
         options.callers = FLAGS_callers;
+        options.plainReplicas = FLAGS_plain_replicas;
+        options.engineReplicas = FLAGS_engine_replicas;
+        options.unreliableReplicas = FLAGS_unreliable_replicas;
         options.program = FLAGS_program.empty()
             ? (fs::read_symlink("/proc/self/exe").parent_path() / "rattanshunt").string()
             : FLAGS_program;
