Send each order to a replica over a connection of its own

Answers to orders and reports carry no id, and both shared one kept connection per replica. A replica that wrote an earlier answer once more, where the next one was due, had that copy taken for the answer to the hub's next order. What the hub then did:

- The copy of a report's 200, read as "holds already" for the unload of an adapter in use, freed a slot that was still taken: the next adapter was loaded, and the replica was ordered to load more than fits (LIMIT).
- The copy of a 409, read for a load whose own answer never came, kept that load out of the list of unanswered orders.
Carried out after a restart of the replica, it met the same order count and more than fits was loaded (LIMIT).
- The copy of a 202, read for a load that was refused, told all members that the replica has the adapter, and requests went to a replica that lacks it.

Cause: an answer without an id was attributed to the call that was under way. Only the history of the connection tells whose it can be.

Each order now opens a connection, on which nothing else is sent, so its first answer is its own; without one the outcome is unknown, which the ledger handles. The kept connection carries nothing but reports, and an answer that is no report closes it. A report read twice is older than it seems; the order count that every order states keeps it from deciding what fits.

The price is one new connection per order.

--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -158,15 +158,12 @@
     state->reportRequestedAt = BootClock::now();
     BootTime requestedAt = state->reportRequestedAt;
     logCall(id, *state, "report");
-    // Removed from the state while in use: an order that is sent meanwhile opens its own connection.
-    auto connection = std::move(state->connection);
+    auto connection = std::move(state->reportConnection);
     if (!connection || !connection->isReusable())
         connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
     net::HttpResult result = net::httpCall(
         *connection, m_codec.writeReportRequest(), base::Clock::now() + m_options.reportTimeout, maxReportBytes);
     state->isReportPending = false;
-    if (result.error == net::HttpCallError::None && !state->connection)
-        state->connection = std::move(connection);
     std::optional<gateway::ReplicaReport> report;
     if (result.error == net::HttpCallError::None) {
         report = m_codec.readReport(result.response);
@@ -177,6 +174,7 @@
         base::counterAdd("replica_reports_missing_total");
         return false;
     }
+    state->reportConnection = std::move(connection); // after an answer that is no report it is closed
     if (report->startedAtMillis != state->startedAtMillis)
         return false;
     directory::directoryApplyReport(m_hubSync.directory(), id, *report, requestedAt);
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -64,7 +64,7 @@
         std::string loadingModel;                                 // by the current job; empty: none
         std::vector<std::pair<std::string, std::string>> leaving; // models and adapters that the job unloads
         gateway::ReplicaReport report;                            // the last that arrived; it may lag behind the ledger
-        std::unique_ptr<net::HttpConnection> connection;
+        std::unique_ptr<net::HttpConnection> reportConnection;    // carries nothing but reports
         bool namesLimitInReports = false; // so that a report without one counts as an answer without a limit
     };
 
--- a/src/models/PlacerJobs.cpp
+++ b/src/models/PlacerJobs.cpp
@@ -126,13 +126,12 @@
     if (found == m_replicaStates.end() || replica == m_hubSync.directory().replicas.end())
         return OrderResult::Refused;
     std::shared_ptr<ReplicaState> state = found->second;
-    auto connection = std::move(state->connection);
+    // Answers to orders carry no id. On a connection that carried another call, a late copy of that call's answer could
+    // be taken for this one.
+    auto connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
     base::TimePoint deadline = base::Clock::now() + m_options.orderTimeout;
-    if (!connection || !connection->isReusable()) {
-        connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
-        if (connection->connect(deadline) != net::HttpCallError::None)
-            return OrderResult::Conflict; // not sent; the next attempt starts with a report, as after a conflict
-    }
+    if (connection->connect(deadline) != net::HttpCallError::None)
+        return OrderResult::Conflict; // not sent; the next attempt starts with a report, as after a conflict
     // Connecting may have taken long, so permission to issue orders is checked last.
     if (!m_hubSync.mayOrder(BootClock::now()) || m_fencingToken != m_hubSync.fencingToken())
         return OrderResult::Superseded;
@@ -148,8 +147,6 @@
     ledgerOrderEnded(state->ledger, order, outcome, sentAt, BootClock::now());
     if (result.error == net::HttpCallError::None)
         recordLimit(id, *state, result.response, sentAt, false);
-    if (result.error == net::HttpCallError::None && !state->connection)
-        state->connection = std::move(connection);
     return outcome;
 }
 
