Request the reports of a limited replica over connections of their own

A replica that asked for a lower rate was sent requests at its former, higher one. A higher rate counts only if it answers a call that began after the lower one was named, but the copy of an older report was read as the answer to a newer call, since reports carry no id and share a connection.

Reports of a replica that is limited go over a new connection each, so that an answer there can only be to this call.

--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -159,7 +159,8 @@
     BootTime requestedAt = state->reportRequestedAt;
     logCall(id, *state, "report");
     auto connection = std::move(state->reportConnection);
-    if (!connection || !connection->isReusable())
+    // The copy of an older report would count as a newer one, and might raise the limit.
+    if (!connection || isLimited(id, *state) || !connection->isReusable())
         connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
     net::HttpResult result = net::httpCall(
         *connection, m_codec.writeReportRequest(), base::Clock::now() + m_options.reportTimeout, maxReportBytes);
@@ -174,7 +175,8 @@
         base::counterAdd("replica_reports_missing_total");
         return false;
     }
-    state->reportConnection = std::move(connection); // after an answer that is no report it is closed
+    if (!isLimited(id, *state))
+        state->reportConnection = std::move(connection); // after an answer that is no report it is closed
     if (report->startedAtMillis != state->startedAtMillis)
         return false;
     directory::directoryApplyReport(m_hubSync.directory(), id, *report, requestedAt);
--- a/tests/OrderCopyTests.cpp
+++ b/tests/OrderCopyTests.cpp
@@ -28,6 +28,7 @@
     std::set<std::string> adapters; // as MODEL/ADAPTER
     int64_t ordersAccepted = 0;
     int64_t startedAtMillis = 1700000000000;
+    std::string limit;                      // that its answers name; empty: none
     std::multiset<std::string> misdirected; // models of requests that it does not have
     std::map<std::string, size_t> arrivals; // orders by name
     bool wasOvercommitted = false;
@@ -111,11 +112,14 @@
     }
 
     // The platform's replicas name no id in their answers to orders and reports.
-    static std::string answer(int status, const std::string& body)
+    std::string answer(int status, const std::string& body) const
     {
-        return fmt::format("HTTP/1.1 {} Status\r\nContent-Length: {}\r\n\r\n{}", status, body.size(), body);
+        return fmt::format(
+            "HTTP/1.1 {} Status\r\n{}Content-Length: {}\r\n\r\n{}", status, limitLine(), body.size(), body);
     }
 
+    std::string limitLine() const { return limit.empty() ? "" : "Server-Limit: " + limit + "\r\n"; }
+
     void serve(ByteConnection& connection, const net::HttpRequest& request)
     {
         bool isReport = request.target == "/rattanshunt/report";
@@ -162,9 +166,9 @@
             return;
         }
         std::string events = "id: 1\ndata: piece\n\n";
-        connection.send(fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Seal: seal\r\nContent-Type: "
+        connection.send(fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nServer-Seal: seal\r\n{}Content-Type: "
                                     "text/event-stream\r\nContent-Length: {}\r\n\r\n{}",
-            id, events.size(), events));
+            id, limitLine(), events.size(), events));
     }
 
     std::map<ByteConnection*, std::map<std::string, std::string>> m_answers; // the last of each kind
@@ -225,6 +229,13 @@
         return true;
     }
 
+    // Requests per second that the hub lets all members send to the replica; negative: not limited.
+    double limitInForce()
+    {
+        auto limit = gateway->hubSync.replicaLimit(replicaId, replica.startedAtMillis);
+        return limit ? *limit : -1;
+    }
+
     // Whether the hub tells all members that the replica has the adapter.
     bool isPlaced(const std::string& model, const std::string& adapter)
     {
@@ -334,3 +345,23 @@
             !replica.wasOvercommitted, "copy %d ms before the answer", static_cast<int>(replica.copyLeadTime.count()));
     });
 }
+
+// Guards the rate that a replica asked for: a higher one counts only if it answers a later call.
+Test(order_copy, a_copy_of_a_report_does_not_raise_the_limit_of_a_replica, .timeout = 30)
+{
+    forEachLeadTime([](CopyFleet& test) {
+        CopyingReplica& replica = test.replica;
+        replica.limit = "50";
+        replica.chooseCopy = [&](const std::string& call) {
+            return call == "report" && replica.limit == "2" && !replica.copiesSent ? "report" : "";
+        };
+        test.start();
+        cr_assert(test.waitUntil([&] { return test.limitInForce() == 50; }));
+        replica.limit = "2";
+        test.callInBackground("m1", base::Millis(2000));
+        cr_expect(test.waitUntil([&] { return test.limitInForce() == 2; }));
+        cr_expect(!test.waitUntil([&] { return test.limitInForce() != 2; }, base::Millis(2500)),
+            "copy %d ms before the answer: the limit became %g", static_cast<int>(replica.copyLeadTime.count()),
+            test.limitInForce());
+    });
+}
