Tell each writer of origins by every path that the store was restored

Callers saw 503 stream_version_unknown for streams that were broken off when all gateways were killed after the store had come back from a copy: origins_are_written_again_after_the_store_lost_them failed at times, with 45, 30 or 15 of 60 streams that went on.

Cause: a daemon learned of the restore from its own reads of the store only, and a member of a reachable hub makes none. The copy holds the hub's record, so the same process is elected again within some 120 ms; a member that does not sync in that time goes on as before and counts its origins as written. Its lease tells no better, as the restored store gives the identifier out again: in the traced run it was the hub's.

The store's era now reaches the writer from reads, from each answer to a sync and from the answers to its own calls; segmentsSeeEra() decides. Writes and grants that were under way when a later era became known do not count.

--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -256,9 +256,9 @@
         base::counterAdd("store_restores_total");
         m_storeRecoveredAt = now;
         m_hasSeenRestore = true;
-        m_originWriter.forgetWritten();
     }
     m_storeEra = era;
+    m_originWriter.seeStoreEra(era);
     if (m_term.isHeld && coordination::revisionEra(m_term.fencingToken) != era)
         resign("the store was restored");
 }
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -151,6 +151,8 @@
         { "stamp", m_directory.changeSequence }, { "members", memberCount() } };
     if (m_freshAsOf == BootTime {})
         return reply;
+    if (m_storeEra)
+        reply["store_era"] = *m_storeEra;
     addPartsToReply(asked, reply, now);
     addLimitsToReply(asked, reply);
     addColdToReply(asked, reply, now);
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -94,6 +94,9 @@
 {
     if (!body.contains("age_us"))
         return;
+    // A member of a hub that is elected again right after a restore may not read the store itself.
+    if (body.contains("store_era"))
+        m_originWriter.seeStoreEra(body.at("store_era").get<int64_t>());
     BootTime replyFreshAsOf = freshAsOfPeer({}, requestedAt, base::Micros(body.at("age_us").get<int64_t>()));
     if (body.contains("configuration_value")) {
         const auto& bytes = body.at("configuration_value").get_binary();
--- a/src/hub/OriginWriter.cpp
+++ b/src/hub/OriginWriter.cpp
@@ -39,6 +39,17 @@
     wake();
 }
 
+void OriginWriter::seeStoreEra(int64_t era)
+{
+    if (!streams::segmentsSeeEra(m_segments, era))
+        return;
+    // The store may give the lease's identifier to another daemon.
+    m_lease = 0;
+    base::counterAdd("stream_origins_forgotten_total");
+    base::logEvent(base::LogLevel::Info, "stream.origins_forgotten", { { "era", era } });
+    wake();
+}
+
 void OriginWriter::forgetWritten()
 {
     streams::segmentsForget(m_segments);
@@ -82,7 +93,7 @@
     for (uint64_t number : streams::segmentsExpire(m_segments, now))
         m_expired.push_back(number);
     std::vector<coordination::KvWrite> writes;
-    WrittenCounts counts;
+    streams::WrittenCounts counts;
     for (const streams::OriginSegment& segment : m_segments.segments) {
         if (!streams::segmentIsUnwritten(segment) || writes.size() >= maxWritesPerCall)
             continue;
@@ -100,7 +111,9 @@
     size_t deleteCount = std::min(m_expired.size(), maxDeletesPerCall);
     for (size_t i = 0; i < deleteCount; ++i)
         writes.push_back({ keyOf(m_expired[i]), std::nullopt, 0 });
+    uint64_t losses = m_segments.losses;
     coordination::KvTxnResult result = m_kv.txn({}, writes);
+    seeStoreEra(m_kv.era());
     base::counterAddLabelled("stream_origin_writes_total", "end", result.isApplied ? "applied" : "failed");
     if (!result.isApplied) {
         base::logEvent(base::LogLevel::Warning, "stream.origins_unwritten",
@@ -117,17 +130,12 @@
     }
     m_refusals = 0;
     m_expired.erase(m_expired.begin(), m_expired.begin() + static_cast<std::ptrdiff_t>(deleteCount));
-    for (auto [number, count] : counts) {
-        for (streams::OriginSegment& segment : m_segments.segments) {
-            if (segment.number == number)
-                segment.writtenCount = std::max(segment.writtenCount, count);
-        }
-    }
+    streams::segmentsRecordWritten(m_segments, counts, losses);
     return true;
 }
 
 // Gives segments other keys.
-void OriginWriter::renumber(const WrittenCounts& counts)
+void OriginWriter::renumber(const streams::WrittenCounts& counts)
 {
     for (streams::OriginSegment& segment : m_segments.segments) {
         auto isSame = [&](const auto& item) { return item.first == segment.number; };
@@ -146,20 +154,26 @@
         return true;
     if (m_lease) {
         coordination::KvLeaseResult renewed = m_kv.leaseRenew(m_lease);
+        seeStoreEra(m_kv.era());
         if (renewed.error != coordination::KvError::None)
             return false;
-        if (renewed.lease) {
+        if (m_lease && renewed.lease) {
             m_leaseRenewedAt = now;
             return true;
         }
-        streams::segmentsForget(m_segments);
-        m_lease = 0;
+        if (m_lease)
+            forgetWritten();
     }
+    uint64_t losses = m_segments.losses;
     coordination::KvLeaseResult granted = m_kv.leaseGrant(originLeaseTime);
+    seeStoreEra(m_kv.era());
     if (granted.error != coordination::KvError::None || !granted.lease) {
         base::logEvent(base::LogLevel::Warning, "stream.lease_refused", {});
         return false;
     }
+    // Granted in an era that has ended, perhaps.
+    if (m_segments.losses != losses)
+        return false;
     m_lease = granted.lease;
     m_leaseRenewedAt = now;
     return true;
--- a/src/hub/OriginWriter.h
+++ b/src/hub/OriginWriter.h
@@ -35,19 +35,19 @@
     // Whether origins are worth a write now, and by how many daemons the pace is shared.
     void setConditions(bool areVersionsMixed, size_t members);
 
-    // What was written may be gone, as the store was restored from a copy.
-    void forgetWritten();
+    // Call with the store's era, by whatever path it becomes known. What was written in an earlier one is written
+    // again.
+    void seeStoreEra(int64_t era);
 
     void stop(); // begins no other write
     bool isWriting() const { return m_isWriting; }
 
 private:
-    using WrittenCounts = std::vector<std::pair<uint64_t, size_t>>; // by number of the segment
-
     void wake();
     void writeAll();
     bool write();
-    void renumber(const WrittenCounts&);
+    void forgetWritten();
+    void renumber(const streams::WrittenCounts&);
     bool ensureLease(base::BootTime now);
     std::string keyOf(uint64_t number) const;
 
--- a/src/streams/OriginSegments.cpp
+++ b/src/streams/OriginSegments.cpp
@@ -67,6 +67,28 @@
 {
     for (OriginSegment& segment : segments.segments)
         segment.writtenCount = 0;
+    ++segments.losses;
+}
+
+bool segmentsSeeEra(OriginSegments& segments, int64_t era)
+{
+    bool isRestored = segments.storeEra && era > *segments.storeEra;
+    segments.storeEra = std::max(segments.storeEra.value_or(era), era);
+    if (isRestored)
+        segmentsForget(segments);
+    return isRestored;
+}
+
+void segmentsRecordWritten(OriginSegments& segments, const WrittenCounts& counts, uint64_t losses)
+{
+    if (losses != segments.losses)
+        return;
+    for (auto [number, count] : counts) {
+        for (OriginSegment& segment : segments.segments) {
+            if (segment.number == number)
+                segment.writtenCount = std::max(segment.writtenCount, count);
+        }
+    }
 }
 
 std::string segmentText(const OriginSegment& segment)
--- a/src/streams/OriginSegments.h
+++ b/src/streams/OriginSegments.h
@@ -2,7 +2,8 @@
 //
 // Contents
 //   [1] Data            OriginSegment, OriginSegments
-//   [2] Writing         segmentsAdd(), segmentsExpire(), segmentsForget(), segmentIsUnwritten(), segmentText()
+//   [2] Writing         segmentsAdd(), segmentsExpire(), segmentsSeeEra(), segmentsForget(), segmentsRecordWritten(),
+//                       segmentIsUnwritten(), segmentText()
 //   [3] Reading         StoredOrigin, segmentRead()
 //   [4] Pace            originWriteInterval()
 //
@@ -17,6 +18,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,8 +42,12 @@
 struct OriginSegments {
     std::deque<OriginSegment> segments; // oldest first
     uint64_t lastNumber = 0;
+    std::optional<int64_t> storeEra; // the latest that is known
+    uint64_t losses = 0;             // how often what was written was forgotten
 };
 
+using WrittenCounts = std::vector<std::pair<uint64_t, size_t>>; // by number of the segment
+
 // ---- [2] Writing -------------------------------------------------------------------------------
 
 void segmentsAdd(OriginSegments&, StreamKey, const StreamOrigin&);
@@ -52,6 +58,14 @@
 // The store may have lost what it had. All segments count as unwritten.
 void segmentsForget(OriginSegments&);
 
+// Call with each era of the store that becomes known; earlier ones than the latest have no effect. Forgets and returns
+// true if the store was restored from a copy since the era that was known.
+bool segmentsSeeEra(OriginSegments&, int64_t era);
+
+// Records that the store has applied a write. `losses`: as they were when it was begun; what was forgotten since counts
+// as unwritten.
+void segmentsRecordWritten(OriginSegments&, const WrittenCounts&, uint64_t losses);
+
 inline bool segmentIsUnwritten(const OriginSegment& segment)
 {
     return segment.count > segment.writtenCount;
--- a/tests/OriginSegmentTests.cpp
+++ b/tests/OriginSegmentTests.cpp
@@ -1,13 +1,74 @@
 // The records of streams' origins that a daemon writes to the store, and the pace of the writes.
 #include "PartLedgerSupport.h"
+#include "StoreStandIn.h"
 #include "hub/OriginWriter.h"
 #include "platform/PlatformCodec.h"
+#include "platform/StoreClient.h"
 #include "streams/OriginSegments.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::tests;
 using namespace rattanshunt::streams;
 
+namespace {
+
+// A store, a daemon that writes origins to it, and another daemon's client.
+struct WriterFixture {
+    // Holds the answers to writes back.
+    struct SlowClient : platform::StoreClient {
+        using StoreClient::StoreClient;
+        base::Millis answerDelay { 0 };
+
+        coordination::KvTxnResult txn(const std::vector<coordination::KvCompare>& compares,
+            const std::vector<coordination::KvWrite>& writes) override
+        {
+            coordination::KvTxnResult result = StoreClient::txn(compares, writes);
+            net::sleepFor(answerDelay);
+            return result;
+        }
+    };
+
+    lab::StoreStandIn store;
+    std::unique_ptr<SlowClient> client;
+    std::unique_ptr<platform::StoreClient> other;
+    std::unique_ptr<hub::OriginWriter> writer;
+
+    explicit WriterFixture(net::Loop& loop)
+        : store(loop)
+    {
+        std::string error;
+        cr_assert(store.listen(error));
+        platform::StoreClientOptions options;
+        options.address = store.address();
+        client = std::make_unique<SlowClient>(loop, options);
+        other = std::make_unique<platform::StoreClient>(loop, options);
+        writer = std::make_unique<hub::OriginWriter>(loop, *client, "a");
+        writer->setConditions(true, 1);
+        store.saveCopy();
+    }
+    ~WriterFixture()
+    {
+        writer->stop();
+        while (writer->isWriting())
+            net::sleepFor(base::Millis(5));
+        store.stop();
+    }
+
+    void add(StreamKey key) { writer->add(key, { "engine", "v1", base::BootClock::now() }); }
+
+    std::set<StreamKey> storedKeys() const
+    {
+        std::set<StreamKey> keys;
+        for (const auto& [name, entry] : store.state().entries) {
+            for (const StoredOrigin& origin : segmentRead(entry.value))
+                keys.insert(origin.key);
+        }
+        return keys;
+    }
+};
+
+} // namespace
+
 Test(origin_segments, what_is_written_is_read)
 {
     OriginSegments segments;
@@ -75,3 +136,57 @@
     for (const std::string& key : { codec.configurationKey, codec.entryPrefix, std::string("rs/") })
         cr_expect_lt(end, key, "%s", key.c_str());
 }
+
+// A restored store gives lease identifiers out again: the writer's may be another daemon's, with which its records end.
+Test(origin_segments, records_are_not_bound_to_a_lease_of_another_daemon_after_a_restore, .timeout = 30)
+{
+    runOnLoop([](net::Loop& loop) {
+        WriterFixture fixture(loop);
+        fixture.add(1);
+        net::sleepFor(base::Millis(300));
+        cr_assert_eq(fixture.storedKeys().size(), 1);
+        int64_t lease = fixture.store.state().entries.begin()->second.lease;
+        fixture.store.restoreCopy();
+        cr_assert_eq(fixture.other->leaseGrant(base::Seconds(10)).lease, lease);
+        fixture.add(2);
+        net::sleepFor(base::Millis(800));
+        fixture.other->leaseRevoke(lease);
+        cr_expect_eq(fixture.storedKeys().size(), 2);
+    });
+}
+
+// The store applies a write, is restored, and the writer hears of that before it gets the write's answer.
+Test(origin_segments, a_write_that_a_restore_has_undone_is_made_again, .timeout = 30)
+{
+    runOnLoop([](net::Loop& loop) {
+        WriterFixture fixture(loop);
+        fixture.add(1);
+        net::sleepFor(base::Millis(300));
+        fixture.client->answerDelay = base::Millis(200);
+        fixture.add(2);
+        while (fixture.storedKeys().size() < 2)
+            net::sleepFor(base::Millis(1));
+        fixture.store.restoreCopy();
+        fixture.writer->seeStoreEra(fixture.store.era());
+        net::sleepFor(base::Millis(1200));
+        cr_expect_eq(fixture.storedKeys().size(), 2);
+    });
+}
+
+Test(origin_segments, only_a_later_era_of_the_store_makes_records_count_as_unwritten)
+{
+    OriginSegments segments;
+    cr_expect_not(segmentsSeeEra(segments, 3), "the first one that is known");
+    segmentsAdd(segments, 1, { "engine", "v1", bootAt(0) });
+    segmentsRecordWritten(segments, { { 1, 1 } }, segments.losses);
+    cr_expect_not(segmentsSeeEra(segments, 3));
+    cr_expect_not(segmentsSeeEra(segments, 2), "told by a daemon that has not read since");
+    cr_expect_not(segmentIsUnwritten(segments.segments[0]));
+    uint64_t losses = segments.losses;
+    cr_expect(segmentsSeeEra(segments, 4));
+    cr_expect(segmentIsUnwritten(segments.segments[0]));
+    segmentsRecordWritten(segments, { { 1, 1 } }, losses);
+    cr_expect(segmentIsUnwritten(segments.segments[0]), "the write was begun in the era before");
+    segmentsRecordWritten(segments, { { 1, 1 } }, segments.losses);
+    cr_expect_not(segmentIsUnwritten(segments.segments[0]));
+}
--- a/tests/StreamVersionTests.cpp
+++ b/tests/StreamVersionTests.cpp
@@ -58,6 +58,33 @@
     });
 }
 
+// Guards against a hub that is elected again between two syncs of a member: the member does not read the store, so it
+// has to learn from the hub that what it wrote is gone.
+Test(stream_version, origins_are_written_again_by_a_member_that_does_not_read_the_restored_store, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v2" }, 1, 13, base::Millis(40));
+        fixture.fleet.hubSyncOptions.minSyncInterval = base::Millis(1500);
+        fixture.fleet.hubSyncOptions.maxSyncInterval = base::Millis(1500);
+        fixture.fleet.hubSyncOptions.maxHubDataAge = base::Seconds(30);
+        fixture.addGateway();
+        cr_assert(fixture.fleet.waitReady());
+        fixture.gateways.erase(fixture.gateways.begin());
+        hub::HubSync& member = fixture.gateways[0]->hubSync;
+        fixture.fleet.store().saveCopy();
+        fixture.startStreams(20);
+        net::sleepFor(base::Millis(700));
+        cr_assert_eq(fixture.storedOriginCount(), 20);
+        base::BootTime freshAsOf = member.freshAsOf();
+        while (member.freshAsOf() == freshAsOf)
+            net::sleepFor(base::Millis(1));
+        fixture.fleet.store().restoreCopy();
+        for (int i = 0; i < 300 && fixture.storedOriginCount() < 20; ++i)
+            net::sleepFor(base::Millis(10));
+        cr_expect_eq(fixture.storedOriginCount(), 20);
+    });
+}
+
 // Guards against a machine that is out of step during a release: it knows one version, and other machines have begun
 // streams at another one.
 Test(stream_version, a_gateway_out_of_step_joins_no_streams, .timeout = 60)
