Read the store before a hub says that a service has one version

Streams that had begun at a new version went on at the old one (ORDER). A daemon that starts, or reaches no hub, reads the store itself and may begin streams at a version that was listed after the hub's last read. If it is killed before it tells the hub, the hub took a list of up to two read intervals (1.2 s) for sufficient, and said to the gateway of the take-up that there is one version.

A list suffices only if the read of it began after the take-up arrived, at a hub as at any other daemon; versionsAreKnown() takes the two times alone. The hub reads at once, at most each 50 ms, and its answer waits for that up to 0.1 s; a member that asks again names its first question, so that a slow read counts for it. The store is linearizable, so this read shows whatever the other daemon's read showed.

The assertions on a hub's list of 1200 ms in a_take_up_is_bound_to_the_only_version_that_may_have_begun_it stated the faulty bound; they are replaced by one that allows no age.

The price: with one version a take-up costs its share of a read at the hub and waits for it; a hub that the store cuts off refuses such take-ups at once, not after 1.2 s.

--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -66,7 +66,8 @@
     m_isStopping = true;
     m_originWriter.stop();
     m_wake.set();
-    while (m_isRunning || m_refresh.isUnderWay || m_streams.isReadingOrigins || m_originWriter.isWriting())
+    while (m_isRunning || m_refresh.isUnderWay || m_streams.isReadingOrigins || m_streams.waitingForVersions
+        || m_originWriter.isWriting())
         net::sleepFor(base::Millis(10));
     if (m_peers)
         m_peers->close();
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -302,7 +302,7 @@
     // -- versions that began streams --
     bool versionsAreMixed(const std::string& service) const;
     bool anyVersionsAreMixed() const;
-    bool versionsAreKnown(base::BootTime takenUpAt) const;
+    bool awaitVersions(base::BootTime takenUpAt);
     void seeVersions(base::BootTime now);
     uint64_t addStreamsToRequest(nlohmann::json& body);
     void applyMemberStreams(const nlohmann::json& body, base::BootTime now);
--- a/src/hub/HubSyncStreams.cpp
+++ b/src/hub/HubSyncStreams.cpp
@@ -72,10 +72,19 @@
     m_originWriter.setConditions(anyVersionsAreMixed(), memberCount());
 }
 
-bool HubSync::versionsAreKnown(BootTime takenUpAt) const
+// Waits for a read of the store that begins after `takenUpAt`. False if it has not ended in time. Suspends.
+bool HubSync::awaitVersions(BootTime takenUpAt)
 {
-    bool isHub = m_term.isHeld && !termIsOver(m_term, BootClock::now());
-    return streams::versionsAreKnown({ isHub, m_freshAsOf, m_options.hubReadInterval }, takenUpAt);
+    BootTime begunAt = BootClock::now();
+    ++m_streams.waitingForVersions;
+    while (!m_isStopping && !streams::versionsAreKnown(m_freshAsOf, takenUpAt)
+        && BootClock::now() - begunAt < versionReadWait) {
+        if (!m_refresh.isUnderWay && BootClock::now() - m_refresh.begunAt >= versionReadInterval)
+            beginRefresh();
+        net::sleepFor(base::Millis(5));
+    }
+    --m_streams.waitingForVersions;
+    return streams::versionsAreKnown(m_freshAsOf, takenUpAt);
 }
 
 streams::TakeUpKnowledge HubSync::takeUpKnowledge(const std::string& service, const std::string& requestId)
@@ -83,25 +92,26 @@
     StreamKey key = streams::streamKey(requestId);
     BootTime takenUpAt = BootClock::now();
     bool isOneVersion = false;
+    Json ask { { "service", service }, { "key", key } };
     for (int i = 0; i <= originCalls && !isOneVersion; ++i) {
         if (i > 0)
             net::sleepFor(originCallInterval);
         if (auto version = streams::originFind(m_streams.origins, key, service))
             return { version, true };
         bool isMixed = versionsAreMixed(service);
-        if (!isMixed && versionsAreKnown(takenUpAt)) {
+        if (!isMixed && streams::versionsAreKnown(m_freshAsOf, takenUpAt)) {
             isOneVersion = true;
             continue;
         }
         if (m_term.isHeld || !m_hubRecord || !m_isHubReachable || !m_peers) {
             if (isMixed)
                 refreshOrigins();
-            else if (!m_refresh.isUnderWay)
-                beginRefresh();
+            else if (awaitVersions(takenUpAt))
+                isOneVersion = !versionsAreMixed(service);
             continue;
         }
-        net::PeerResult result = m_peers->call(m_hubRecord->address, "stream",
-            Json { { "service", service }, { "key", key } }, base::Clock::now() + originCallTimeout);
+        net::PeerResult result
+            = m_peers->call(m_hubRecord->address, "stream", ask, base::Clock::now() + originCallTimeout);
         if (result.error != net::PeerError::None || !result.body.is_object() || !result.body.value("hub", false))
             continue;
         if (result.body.contains("version")) {
@@ -110,6 +120,10 @@
             return { version, true };
         }
         isOneVersion = !result.body.value("mixed", true);
+        if (result.body.contains("since_us")) {
+            ask["start"] = result.body.at("start");
+            ask["since_us"] = result.body.at("since_us");
+        }
     }
     if (!isOneVersion)
         return {};
@@ -162,9 +176,19 @@
     if (termIsOver(m_term, BootClock::now()))
         return Json { { "hub", false } };
     std::string service = body.at("service").get<std::string>();
-    bool mayBeMixed = versionsAreMixed(service) || !versionsAreKnown(BootClock::now());
-    Json reply { { "hub", true }, { "mixed", mayBeMixed } };
-    if (auto version = streams::originFind(m_streams.origins, body.at("key").get<StreamKey>(), service))
+    StreamKey key = body.at("key").get<StreamKey>();
+    // A member that asks again names the time of its first question on this daemon's clock.
+    BootTime now = BootClock::now();
+    BootTime askedAt = now;
+    if (body.value("start", "") == m_incarnation)
+        askedAt = std::min(now, BootTime(base::Micros(body.at("since_us").get<int64_t>())));
+    bool isKnown
+        = streams::originFind(m_streams.origins, key, service) || versionsAreMixed(service) || awaitVersions(askedAt);
+    if (termIsOver(m_term, BootClock::now()))
+        return Json { { "hub", false } };
+    Json reply { { "hub", true }, { "mixed", versionsAreMixed(service) || !isKnown }, { "start", m_incarnation },
+        { "since_us", std::chrono::ceil<base::Micros>(askedAt.time_since_epoch()).count() } };
+    if (auto version = streams::originFind(m_streams.origins, key, service))
         reply["version"] = *version;
     else if (versionsAreMixed(service))
         refreshOrigins();
--- a/src/hub/StreamSync.h
+++ b/src/hub/StreamSync.h
@@ -14,6 +14,8 @@
 inline constexpr size_t maxOriginsPerCall = 1000;           // that a member tells the hub in one sync
 inline constexpr base::Seconds versionRecordInterval { 5 }; // between two writes of the versions' record
 inline constexpr base::Millis originReadInterval { 250 };   // between two reads of origins for take-ups
+inline constexpr base::Millis versionReadInterval { 50 };   // between two reads of versions for take-ups
+inline constexpr base::Millis versionReadWait { 100 };      // for such a read, at most
 
 struct StreamSync {
     struct OwnOrigin {
@@ -33,6 +35,7 @@
     uint64_t reportedDrops = 0;                  // of `origins`, that were logged
     bool isReadingOrigins = false;
     base::BootTime originsReadAt {};
+    size_t waitingForVersions = 0; // fibers
 };
 
 } // namespace rattanshunt::hub
--- a/src/streams/StreamOrigins.h
+++ b/src/streams/StreamOrigins.h
@@ -89,18 +89,12 @@
     return { knowledge.version.has_value(), knowledge.version.value_or("") };
 }
 
-// Whether what a daemon knows of versions is recent enough to say that a service has only one. Members learn of
-// versions from the hub, so a hub's last reads suffice. Any other daemon must have begun a read of the store after the
-// take-up arrived.
-struct VersionKnowledge {
-    bool isHub = false; // and its term is not over
-    base::BootTime freshAsOf {};
-    base::Millis hubReadInterval { 600 };
-};
-
-inline bool versionsAreKnown(const VersionKnowledge& knowledge, base::BootTime takenUpAt)
+// Whether a daemon, a hub too, may say that a service has only one version. `freshAsOf`: when the read of the store was
+// begun from which it knows. Any daemon may read the store between two reads of the hub, and begin streams at a version
+// that the hub has not seen.
+inline bool versionsAreKnown(base::BootTime freshAsOf, base::BootTime takenUpAt)
 {
-    return knowledge.freshAsOf >= takenUpAt - (knowledge.isHub ? 2 * knowledge.hubReadInterval : base::Millis(0));
+    return freshAsOf >= takenUpAt;
 }
 
 } // namespace rattanshunt::streams
--- a/tests/StreamVersionTests.cpp
+++ b/tests/StreamVersionTests.cpp
@@ -128,6 +128,38 @@
     });
 }
 
+// Guards against a hub that says from an older list that there is one version: a daemon that starts reads the store
+// itself, begins streams at a version that the hub has not seen, and ends before it tells the hub.
+Test(stream_version, a_hub_that_has_not_read_of_a_version_joins_no_streams, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        VersionFixture fixture(loop, { "v1", "v1" }, 2, 20);
+        net::sleepFor(base::Millis(700));
+        size_t hub = fixture.gateways[0]->hubSync.isHub() ? 0 : 1;
+        LabGateway* member = fixture.gateways[1 - hub];
+        hub::HubSync& hubSync = fixture.gateways[hub]->hubSync;
+        base::BootTime readAt = hubSync.freshAsOf();
+        while (hubSync.freshAsOf() == readAt)
+            net::sleepFor(base::Millis(1));
+        fixture.addReplica("v2");
+        fixture.addReplica("v2");
+        LabGateway& starting = fixture.fleet.addGateway("starting");
+        while (starting.hubSync.directory().replicas.size() < 4)
+            net::sleepFor(base::Millis(1));
+        fixture.gateways = { &starting };
+        fixture.startStreams(30);
+        net::sleepFor(base::Millis(120));
+        fixture.fleet.kill(starting);
+        while (fixture.openCalls)
+            net::sleepFor(base::Millis(1));
+        cr_assert_gt(fixture.broken.size(), 20);
+        cr_assert(std::any_of(fixture.broken.begin(), fixture.broken.end(),
+            [&](const BrokenStream& stream) { return fixture.versionsThatServed(stream.requestId).contains("v2"); }));
+        fixture.gateways = { member };
+        fixture.takeUp(); // checks that none is joined
+    });
+}
+
 // A take-up may wait for its model, and another version appear meanwhile (review/3): it is bound to the version that
 // was the only one when it arrived, and that only if the knowledge is recent enough.
 Test(stream_version, a_take_up_is_bound_to_the_only_version_that_may_have_begun_it)
@@ -146,10 +178,8 @@
     versionsSee(history, "engine", "v2", now + originLifetime);
     cr_expect_str_eq(versionsOnly(history, "engine", now + originLifetime + base::Millis(1))->c_str(), "v2");
 
-    cr_expect(versionsAreKnown({ false, now, base::Millis(600) }, now));
-    cr_expect_not(versionsAreKnown({ false, now - base::Millis(1), base::Millis(600) }, now));
-    cr_expect(versionsAreKnown({ true, now - base::Millis(1200), base::Millis(600) }, now));
-    cr_expect_not(versionsAreKnown({ true, now - base::Millis(1201), base::Millis(600) }, now));
+    cr_expect(versionsAreKnown(now, now));
+    cr_expect_not(versionsAreKnown(now - base::Millis(1), now), "a hub's, too");
 }
 
 // Nobody knows of these streams: their gateways are gone, and they began too late to be written.
