Explore take-ups while a second version appears

The model states what a hub may say of a list that it read earlier, with versionsAreKnown() as it runs.

--- a/lab/Explorer.h
+++ b/lab/Explorer.h
@@ -88,6 +88,7 @@
     EndsOfDistinctLives,       // each observation of a replica's end counts
     RetellNewHub,              // daemons tell a new hub nothing of what they observed before
     TakeOverBlocks,            // a new hub starts without the blocks of its predecessor
+    VersionsReadAfterTakeUp,   // a hub's last read says that a service has one version, whatever its age
 };
 
 struct ExplorerCase {
--- a/lab/ExplorerModels.cpp
+++ b/lab/ExplorerModels.cpp
@@ -55,6 +55,8 @@
     add("parts with repeated ends of one life", promptPartsModel, Safeguard::EndsOfDistinctLives);
     add("parts that a new hub is not told of", promptPartsModel, Safeguard::RetellNewHub);
     add("parts whose blocks end with the hub", promptPartsModel, Safeguard::TakeOverBlocks);
+    add("versions", versionsModel, Safeguard::None);
+    add("versions from a list that was read before the take-up", versionsModel, Safeguard::VersionsReadAfterTakeUp);
     return cases;
 }
 
--- a/lab/ExplorerModels.h
+++ b/lab/ExplorerModels.h
@@ -80,5 +80,6 @@
 std::unique_ptr<ExplorerModel> freshnessModel(Safeguard removedSafeguard);
 std::unique_ptr<ExplorerModel> retryBudgetModel(Safeguard removedSafeguard);
 std::unique_ptr<ExplorerModel> promptPartsModel(Safeguard removedSafeguard);
+std::unique_ptr<ExplorerModel> versionsModel(Safeguard removedSafeguard);
 
 } // namespace rattanshunt::lab
