Believe no error without an id on a reused connection to an engine

What callers saw: a completion was refused (refused-not-run, as 400 or 503) though the engine ran it.

Cause: a reused connection may bring a response to an earlier request. One with another id was rejected, but an error without any was taken for this request's: 404, 429 and 503 as "not executed", 400 as the engine's own refusal of it.

Evidence: serve_refusal_copy::a_refusal_without_id_on_a_reused_connection_is_no_promise. Before, with the error written while the completion ran: status 400 gave 400 refused-not-run; 404, 429 and 503 gave 503 refused-not-run. After: "unknown" for all four.

Why it works: on a connection that was used before, an error without an id says nothing of the present request, so the outcome is unknown and the connection is closed. On a new connection no earlier response can arrive, so there it still counts. A response that is rejected no longer sets the load of its engine either. Engines that leave the id out of their errors lose the free retry after them; the stand-in now repeats the id in its 404, as it does in its completions.

--- a/lab/EngineStandIn.cpp
+++ b/lab/EngineStandIn.cpp
@@ -271,7 +271,10 @@
         std::string model = body.value("model", std::string());
         auto found = models.find(model);
         if (!options.startsLoaded && (found == models.end() || !found->second.isReady || found->second.isUnloading)) {
-            exchange.respond(jsonResponse({ { "error", "not loaded" } }, 404));
+            net::HttpResponse response = jsonResponse({ { "error", "not loaded" } }, 404);
+            response.headers.push_back(
+                { "X-Request-Id", std::string(net::httpHeader(exchange.request().headers, "X-Request-Id")) });
+            exchange.respond(std::move(response));
             return;
         }
         if (!options.startsLoaded)
--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -215,18 +215,17 @@
         net::HttpResponse head;
         if (connection.readHead(head, deadline) != net::HttpCallError::None)
             return AttemptOutcome::Unknown;
+        // A reused connection may hold the late copy of an earlier response. The events and the body of a completion
+        // carry the id too, an error may have no body.
+        std::string_view responseId = net::httpHeader(head.headers, headerRequestId);
+        bool isUnidentifiedError = responseId.empty() && wasReused && head.status != 200;
+        if (isUnidentifiedError || (!responseId.empty() && responseId != request.id)) {
+            base::counterAdd("engine_answers_foreign_total");
+            connection.cancel();
+            return AttemptOutcome::Unknown;
+        }
         recordLoad(endpoint, head.headers);
         if (head.status != 200) {
-            // A reused connection may hold the late copy of an earlier response. An error without an id is taken as
-            // this request's, and its connection is closed, which ends the request if it was not.
-            std::string_view responseId = net::httpHeader(head.headers, headerRequestId);
-            if (wasReused && responseId != request.id) {
-                connection.cancel();
-                if (responseId.empty())
-                    return outcomeOfStatus(head.status);
-                base::counterAdd("engine_answers_foreign_total");
-                return AttemptOutcome::Unknown;
-            }
             bool isEnd = false;
             std::string body;
             while (!isEnd && connection.readSome(body, isEnd, deadline) == net::HttpCallError::None) {
--- a/tests/ServeFixtures.h
+++ b/tests/ServeFixtures.h
@@ -94,7 +94,7 @@
         || result.response.body.find("\"type\":\"unknown\"") != std::string::npos;
 }
 
-// One daemon, two engines and the model m on both.
+// One daemon, engines drafter-1, drafter-2 and so on, and the model m on all of them.
 struct EngineFixture {
     net::Loop& loop;
     lab::LabFleet fleet;
@@ -102,34 +102,36 @@
 
     // `prepare` is called before there are models.
     explicit EngineFixture(
-        net::Loop& testLoop, const std::function<void(lab::LabFleet&)>& prepare = [](lab::LabFleet&) {})
+        net::Loop& testLoop, const std::function<void(lab::LabFleet&)>& prepare = [](lab::LabFleet&) {},
+        size_t engineCount = 2)
         : loop(testLoop)
-        , fleet(testLoop, plan())
+        , fleet(testLoop, plan(engineCount))
     {
         cr_assert(fleet.start());
         prepare(fleet);
         fleet.adminCall("d1", "PUT", "/api/v1/model/m",
-            { { "pool", "drafter" }, { "bytes", 60 }, { "replicas", 2 }, { "min_replicas", 2 } });
+            { { "pool", "drafter" }, { "bytes", 60 }, { "replicas", engineCount }, { "min_replicas", engineCount } });
         fleet.adminCall("d1", "PUT", "/api/v1/account/acme", { { "rate", 100000 }, { "burst", 200000 } });
         secret = fleet.createKey("d1", "k", "acme");
         cr_assert(fleet.waitUntil([&] { return complete(4).response.status == 200; }, base::Seconds(10)));
         cr_assert(fleet.waitUntil(
             [&] {
-                return fleet.engineState("drafter-1")["loaded_orders"].size() == 1
-                    && fleet.engineState("drafter-2")["loaded_orders"].size() == 1;
+                auto ids = fleet.engineIds();
+                return std::all_of(ids.begin(), ids.end(),
+                    [&](auto& id) { return fleet.engineState(id)["loaded_orders"].size() == 1; });
             },
             base::Seconds(10)));
     }
-    static lab::FleetPlan plan()
+    static lab::FleetPlan plan(size_t engineCount)
     {
         lab::FleetPlan plan;
         plan.settings = lab::labSettings();
         plan.settings.retryBudgetPercent = 100;
         plan.platform.listLag = base::Millis(20);
         plan.platform.maxLoadStartsPerSecond = 50;
-        for (const char* name : { "drafter-1", "drafter-2" }) {
+        for (size_t i = 1; i <= engineCount; ++i) {
             lab::EnginePlan engine;
-            engine.options.id = name;
+            engine.options.id = fmt::format("drafter-{}", i);
             engine.options.loadTime = base::Millis(50);
             plan.engines.push_back(engine);
         }
@@ -137,16 +139,18 @@
     }
     void setFaults(const nlohmann::json& faults)
     {
-        for (const char* name : { "drafter-1", "drafter-2" })
-            fleet.setEngineFaults(name, faults);
+        for (const std::string& id : fleet.engineIds())
+            fleet.setEngineFaults(id, faults);
     }
-    net::HttpResult complete(int tokens, base::Millis timeLeft = base::Millis(6000))
+    net::HttpResult complete(int tokens, base::Millis timeLeft = base::Millis(6000), const std::string& id = "")
     {
         nlohmann::json body
             = { { "model", "m" }, { "prompt", "the quick brown fox" }, { "max_tokens", tokens }, { "stream", true } };
         net::HttpRequest request { "POST", "/v1/completions",
             { { "Authorization", "Bearer " + secret }, { "X-Deadline-Ms", std::to_string(timeLeft.count()) } },
             body.dump() };
+        if (!id.empty())
+            request.headers.push_back({ "X-Request-Id", id });
         auto connection = net::HttpConnection::create(loop, fleet.addresses("d1").client);
         return net::httpCall(*connection, request, base::Clock::now() + base::Seconds(12));
     }
