Bound a line of a KV watch in bytes and in time

What callers saw: nothing yet. A member of the KV service that sends a line without end holds the watch open and the daemon keeps all of its bytes. The daemon hears of no change meanwhile.

Cause: HttpKv::watch() kept reading until a newline, without a size limit, and each read began a new timeout, so one byte now and then was enough. It also searched all of the line anew for each piece.

Evidence: endless_response::a_watch_whose_line_never_ends_fails_in_time.

Why it works: the timeout begins with the watch and with each complete line, and a line may be as long as the response of a call.

--- a/src/coordination/KvClient.cpp
+++ b/src/coordination/KvClient.cpp
@@ -165,6 +165,8 @@
 }
 
 namespace {
+    constexpr size_t maxWatchLineBytes = net::maxCallBodyBytes;
+
     // Handles one line of a watch's response. Returns false if the watch must end.
     bool handleWatchLine(
         const std::string& line, const std::function<bool(const std::vector<KvEvent>&, Revision)>& onEvents)
@@ -210,13 +212,18 @@
         ++m_impl->nextAddress;
     std::string text;
     bool isEnd = false;
-    while (isOpen && !isEnd) {
-        if (connection->readSome(text, isEnd, deadline()) != net::HttpCallError::None)
+    // Bytes that complete no line do not extend the time.
+    base::TimePoint lineDeadline = deadline();
+    while (isOpen && !isEnd && text.size() <= maxWatchLineBytes) {
+        size_t searchFrom = text.size();
+        if (connection->readSome(text, isEnd, lineDeadline) != net::HttpCallError::None)
             break;
         size_t end;
-        while (isOpen && (end = text.find('\n')) != std::string::npos) {
+        while (isOpen && (end = text.find('\n', searchFrom)) != std::string::npos) {
             isOpen = handleWatchLine(text.substr(0, end), onEvents);
             text.erase(0, end + 1);
+            searchFrom = 0;
+            lineDeadline = deadline();
         }
     }
     m_impl->active.erase(connection.get());
--- a/src/coordination/KvClient.h
+++ b/src/coordination/KvClient.h
@@ -12,7 +12,7 @@
 struct KvClientOptions {
     std::vector<base::Address> addresses; // of the service, tried in turn; must not be empty
     base::Millis callTimeout { 1500 };    // for a call with connecting and its response
-    base::Millis watchTimeout { 3000 };   // a watch that receives nothing for this long has failed
+    base::Millis watchTimeout { 3000 };   // a watch that receives no line for this long has failed
 };
 
 class HttpKv : public Kv {
