Bound the states and the order responses of engines

What callers saw: a daemon that polls engines which answer with bytes without end may run out of memory, and the requests that it serves end with it.

Cause: engineStateFetch() and engineOrderSend() used the default limit of a call, 8 MB, and all engines are polled at the same time.

Evidence: endless_response::states_of_engines_that_never_end_stay_within_the_memory_limit, 50 engines.

Why it works: a state may have 256 KB, as a replica's report, which is room for thousands of ended orders; the response to an order, of which only the status is read, 64 KB.

--- a/src/endpoints/EngineOrders.cpp
+++ b/src/endpoints/EngineOrders.cpp
@@ -7,6 +7,11 @@
 
 using nlohmann::json;
 
+namespace {
+    constexpr size_t maxStateBytes = 256 * 1024; // all engines are polled at the same time
+    constexpr size_t maxOrderResponseBytes = 64 * 1024;
+}
+
 OrderOutcome engineOrderSend(
     net::HttpConnection& connection, const EngineOrder& order, const std::string& bootId, base::TimePoint deadline)
 {
@@ -19,7 +24,7 @@
     if (!order.baseModel.empty())
         body["base"] = order.baseModel;
     net::HttpRequest request { "POST", "/orders", { { "Content-Type", "application/json" } }, body.dump() };
-    net::HttpResult result = net::httpCall(connection, request, deadline);
+    net::HttpResult result = net::httpCall(connection, request, deadline, maxOrderResponseBytes);
     if (result.error == net::HttpCallError::ConnectFailed)
         return OrderOutcome::NotSent;
     if (result.error != net::HttpCallError::None)
@@ -29,7 +34,7 @@
 
 std::optional<EngineState> engineStateFetch(net::HttpConnection& connection, base::TimePoint deadline)
 {
-    net::HttpResult result = net::httpCall(connection, { "GET", "/state", {}, "" }, deadline);
+    net::HttpResult result = net::httpCall(connection, { "GET", "/state", {}, "" }, deadline, maxStateBytes);
     if (result.error != net::HttpCallError::None || result.response.status != 200)
         return std::nullopt;
     json body = base::jsonTryParse(result.response.body);
--- a/tests/EndlessServeResponseTests.cpp
+++ b/tests/EndlessServeResponseTests.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr size_t endpointCount = 50;
 constexpr size_t maxPeakBytes = 64 * 1024 * 1024; // of a daemon on a machine with 112 MB, with all of the endpoints
 constexpr base::Millis answerMargin { 500 };
 
@@ -66,3 +67,33 @@
         service.stop();
     });
 }
+
+Test(endless_response, states_of_engines_that_never_end_stay_within_the_memory_limit, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        std::vector<std::unique_ptr<ByteStandIn>> engines;
+        FleetPlan plan = ServiceFixture::plan();
+        LabFleet fleet(loop, plan);
+        cr_assert(fleet.start());
+        auto platform = net::HttpConnection::create(loop, fleet.standInAddresses().at("platform"));
+        std::set<size_t> polled;
+        for (size_t i = 0; i < endpointCount; ++i) {
+            engines.push_back(
+                std::make_unique<ByteStandIn>(loop, [&polled, i](ByteConnection& connection, const net::HttpRequest&) {
+                    polled.insert(i);
+                    sendEndlessResponse(connection, i % 2 ? EndlessForm::ChunkedBody : EndlessForm::BodyUntilClose, {});
+                }));
+            std::string error;
+            cr_assert(engines.back()->listen(error), "%s", error.c_str());
+            coordination::Instance instance { fmt::format("drafter-{}", i), "drafter", engines.back()->address(),
+                "dc-1", "boot", coordination::InstanceState::Live, EngineStandInOptions().memoryBytes, true };
+            net::httpCall(*platform, { "PUT", "/instances", {}, coordination::instanceToJson(instance).dump() },
+                base::Clock::now() + base::Seconds(5));
+        }
+        cr_assert(fleet.waitUntil([&] { return polled.size() == endpointCount; }, base::Seconds(10)));
+        net::sleepFor(base::Millis(2000));
+        cr_expect_lt(peakResidentBytes(), maxPeakBytes, "peak of %zu MB", peakResidentBytes() >> 20);
+        for (auto& engine : engines)
+            engine->stop();
+    });
+}
