Skip late copies of other requests' responses on the product's own interface

What callers saw: 502, outcome unknown, for a request that ran and was answered, because the copy of an earlier refusal stood before its answer. Repeatable calls and completions ran again at another replica, if there was one.

Cause: on a reused connection a response with another request's id ended the attempt. The gateway skips such responses and reads on.

Why it works: the id tells the copy, since no request is sent on a connection that has answered one with its id. On a new connection nothing can precede the response, so one with another id still fails at once. A connection counts as in use while any response is read, so that one that is given up after a skipped response is not reused.

--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -5,6 +5,7 @@
 #include "base/Log.h"
 #include "endpoints/EngineStream.h"
 #include "entry/AttemptLoop.h"
+#include "entry/OwnResponse.h"
 
 namespace rattanshunt::entry {
 
@@ -214,13 +215,12 @@
         if (connection.send(engineRequest(request, call), deadline) != net::HttpCallError::None)
             return AttemptOutcome::Unknown;
         net::HttpResponse head;
-        if (connection.readHead(head, deadline) != net::HttpCallError::None)
+        if (readOwnHead(connection, wasReused, request.id, head, deadline, "engine_answers_foreign_total")
+            != net::HttpCallError::None)
             return AttemptOutcome::Unknown;
         // A reused connection may hold the late copy of an earlier response. The events and the body of a completion
         // carry the id too, an error may have no body.
-        std::string_view responseId = net::httpHeader(head.headers, headerRequestId);
-        bool isUnidentifiedError = responseId.empty() && wasReused && head.status != 200;
-        if (isUnidentifiedError || (!responseId.empty() && responseId != request.id)) {
+        if (wasReused && head.status != 200 && net::httpHeader(head.headers, headerRequestId).empty()) {
             base::counterAdd("engine_answers_foreign_total");
             connection.cancel();
             return AttemptOutcome::Unknown;
--- a/src/entry/ServeRoute.cpp
+++ b/src/entry/ServeRoute.cpp
@@ -6,6 +6,7 @@
 #include "base/Counters.h"
 #include "base/Log.h"
 #include "entry/AttemptLoop.h"
+#include "entry/OwnResponse.h"
 
 namespace rattanshunt::entry {
 
@@ -62,7 +63,8 @@
         if (isSent)
             error = connection->send(serviceRequest(request), request.deadline);
         if (error == net::HttpCallError::None)
-            error = connection->readHead(response, request.deadline);
+            error = readOwnHead(
+                *connection, wasReused, request.id, response, request.deadline, "service_answers_foreign_total");
         request.responseMemory = gateway::ResponseMemoryShare(thread.responseMemory);
         bool isEnd = false;
         while (error == net::HttpCallError::None && !isEnd) {
@@ -82,8 +84,7 @@
         // A reused connection may hold the late copy of an earlier response. Only connections whose responses carry
         // request ids are reused, so there a response without one is not this request's.
         std::string_view responseRequestId = net::httpHeader(response.headers, headerRequestId);
-        bool isForeign = responseRequestId != request.id && (wasReused || !responseRequestId.empty());
-        if (isForeign) {
+        if (responseRequestId.empty() && wasReused) {
             base::counterAdd("service_answers_foreign_total");
             return AttemptOutcome::Unknown;
         }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -133,6 +133,7 @@
             for (auto& field : m_parser->get())
                 response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
             m_isHeadRead = true;
+            m_isRequestInFlight = true; // also if this is one more response to the same request
             return HttpCallError::None;
         }
 
