Tests of late copies of refusals on the product's own interface

What callers saw: a completion ran twice, or was refused with a promise though it ran, where its engine wrote a refusal once more; a repeatable call that its caller sent again, or that went to a replica which is listed twice, was refused though it ran.

After a refusal the next attempt of a completion took the connection that was used last, which is the one that had brought the refusal.

Calls that may run once take a new connection each, on which no copy can arrive; that part passed before.

--- a/tests/ServeRefusalCopyTests.cpp
+++ b/tests/ServeRefusalCopyTests.cpp
@@ -155,6 +155,44 @@
 
 // ---- Engines ------------------------------------------------------------------------------------
 
+Test(serve_refusal_copy, a_copy_does_not_make_a_completion_run_twice, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        RefusingEngine engine(loop);
+        for (base::Millis delay : { base::Millis(0), copyDelay }) {
+            for (int i = 0; i < 2; ++i) {
+                std::string id = fmt::format("twice-{}-{}", delay.count(), i);
+                engine.refuser.copyAfter = delay;
+                engine.refuser.refusalsLeft = 1;
+                engine.expectRanOnceAndComplete(engine.complete(id), id);
+            }
+        }
+    });
+}
+
+// The engine accepts the last attempt, and the copy comes while it runs.
+Test(serve_refusal_copy, a_completion_that_runs_is_not_refused_for_a_copy, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        RefusingEngine engine(loop);
+        engine.refuser.refusalsLeft = maxRefusalsOfCompletion;
+        engine.expectRanOnceAndComplete(engine.complete("last"), "last");
+    });
+}
+
+Test(serve_refusal_copy, a_copy_does_not_answer_a_completion_that_its_caller_sends_again, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        RefusingEngine engine(loop);
+        engine.refuser.refusalsLeft = maxRefusalsOfCompletion + 1;
+        net::HttpResult refused = engine.complete("again");
+        cr_expect_eq(outcomeOf(refused), "refused-not-run", "%s", outcomeOf(refused).c_str());
+        cr_expect_eq(engine.refuser.refusalsLeft, 0);
+        cr_expect_eq(engine.refuser.runs["again"], 0);
+        engine.expectRanOnceAndComplete(engine.complete("again"), "again");
+    });
+}
+
 Test(serve_refusal_copy, a_copy_does_not_end_the_completion_that_follows, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
@@ -199,6 +237,25 @@
 
 // ---- Services -----------------------------------------------------------------------------------
 
+Test(serve_refusal_copy, a_copy_does_not_answer_a_call_that_its_caller_sends_again, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        RefusingService service(loop);
+        for (base::Millis delay : { base::Millis(0), copyDelay }) {
+            service.refuser.copyAfter = delay;
+            for (const char* first : { "/again", "/once" }) {
+                for (const char* second : { "/again", "/once" }) {
+                    std::string id = fmt::format("call-{}{}{}", delay.count(), first + 1, second + 1);
+                    service.refuser.refusalsLeft = 1;
+                    cr_expect_eq(outcomeOf(service.fixture.call(first, id)), "refused-not-run");
+                    cr_expect_eq(service.refuser.runs[id], 0);
+                    service.expectRanOnceAndComplete(service.fixture.call(second, id), id);
+                }
+            }
+        }
+    });
+}
+
 Test(serve_refusal_copy, a_copy_does_not_end_the_call_that_follows, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
@@ -212,3 +269,28 @@
         cr_expect_geq(service.refuser.copiesSent, 1);
     });
 }
+
+// A replica that has restarted is listed under two ids for a while.
+Test(serve_refusal_copy, a_call_to_a_replica_listed_twice_is_not_refused_for_a_copy, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        RefusingService service(loop);
+        coordination::Instance instance { "ledger-2", "ledger", service.fixture.service.address(), "dc-1", "boot-2",
+            coordination::InstanceState::Live, 0, false };
+        service.fixture.send(service.fixture.fleet.standInAddresses().at("platform"),
+            { "PUT", "/instances", {}, coordination::instanceToJson(instance).dump() }, base::Seconds(5));
+        // In force when a call that is refused is sent to both.
+        cr_assert(service.fixture.fleet.waitUntil(
+            [&] {
+                service.refuser.refusalsLeft = 2;
+                service.fixture.call("/again", fmt::format("probe-{}", base::randomId()));
+                return service.refuser.refusalsLeft == 0;
+            },
+            base::Seconds(10)));
+        for (int i = 0; i < 3; ++i) {
+            std::string id = fmt::format("listed-{}", i);
+            service.refuser.refusalsLeft = 1;
+            service.expectRanOnceAndComplete(service.fixture.call("/again", id), id);
+        }
+    });
+}
