--- a/src/entry/ServeCompletion.cpp
+++ b/src/entry/ServeCompletion.cpp
@@ -5,6 +5,7 @@
 #include "base/Log.h"
 #include "endpoints/EngineStream.h"
 #include "entry/AttemptLoop.h"
+#include "entry/OwnResponse.h"
 
 namespace rattanshunt::entry {
 
@@ -17,7 +18,6 @@
     constexpr size_t maxUnstreamedTokens = 16; // up to this length, responses are requested without a stream
     constexpr int maxCompletionAttempts = 4;
     constexpr base::Millis notExecutedDelay { 20 };  // before a retry after an attempt that was not executed
-    constexpr size_t maxResponseBytes = 1024 * 1024; // of a response that is not a stream, and of an engine's error
     constexpr size_t maxEventBytes = 128 * 1024;     // of one event of a stream
     constexpr base::Millis streamEndTimeout { 200 }; // from the end mark of a stream to the end of its body
     constexpr size_t maxBytesAfterStream = 4096;     // after the end mark of a stream
@@ -86,10 +86,12 @@
         bool isEnd = false;
         base::TimePoint deadline
             = std::min(request.deadline, base::Clock::now() + thread.context.settings.firstTokenTimeout);
+        gateway::ResponseMemoryShare memory(thread.responseMemory);
         while (!isEnd) {
-            if (connection.readSome(body, isEnd, deadline) != net::HttpCallError::None)
+            std::string piece;
+            if (connection.readSome(piece, isEnd, deadline) != net::HttpCallError::None)
                 return AttemptOutcome::Unknown;
-            if (body.size() > maxResponseBytes)
+            if (!memory.append(body, piece))
                 return endTooLarge(connection);
         }
         json engineResponse = base::jsonTryParse(body);
@@ -213,24 +215,25 @@
         if (connection.send(engineRequest(request, call), deadline) != net::HttpCallError::None)
             return AttemptOutcome::Unknown;
         net::HttpResponse head;
-        if (connection.readHead(head, deadline) != net::HttpCallError::None)
+        if (readOwnHead(connection, wasReused, request.id, head, deadline, "engine_answers_foreign_total")
+            != net::HttpCallError::None)
             return AttemptOutcome::Unknown;
+        // A reused connection may hold the late copy of an earlier response. The events and the body of a completion
+        // carry the id too, an error may have no body.
+        if (wasReused && head.status != 200 && net::httpHeader(head.headers, headerRequestId).empty()) {
+            base::counterAdd("engine_answers_foreign_total");
+            connection.cancel();
+            return AttemptOutcome::Unknown;
+        }
         recordLoad(endpoint, head.headers);
         if (head.status != 200) {
-            // A reused connection may hold the late copy of an earlier response. An error without an id is taken as
-            // this request's, and its connection is closed, which ends the request if it was not.
-            std::string_view responseId = net::httpHeader(head.headers, headerRequestId);
-            if (wasReused && responseId != request.id) {
-                connection.cancel();
-                if (responseId.empty())
-                    return outcomeOfStatus(head.status);
-                base::counterAdd("engine_answers_foreign_total");
-                return AttemptOutcome::Unknown;
-            }
             bool isEnd = false;
-            std::string body;
-            while (!isEnd && connection.readSome(body, isEnd, deadline) == net::HttpCallError::None) {
-                if (body.size() > maxResponseBytes)
+            size_t bodyBytes = 0;
+            std::string piece;
+            while (!isEnd && connection.readSome(piece, isEnd, deadline) == net::HttpCallError::None) {
+                bodyBytes += piece.size();
+                piece.clear();
+                if (bodyBytes > maxResponseBytes)
                     return endTooLarge(connection);
             }
             return outcomeOfStatus(head.status);
--- a/src/entry/ServeRoute.cpp
+++ b/src/entry/ServeRoute.cpp
@@ -6,6 +6,7 @@
 #include "base/Counters.h"
 #include "base/Log.h"
 #include "entry/AttemptLoop.h"
+#include "entry/OwnResponse.h"
 
 namespace rattanshunt::entry {
 
@@ -15,7 +16,6 @@
 
     constexpr int maxCallAttempts = 3;
     constexpr size_t maxIdempotencyKeyBytes = 256;
-    constexpr size_t maxResponseBytes = 1024 * 1024; // of a service's response
 
     // Headers that are forwarded to a service. The API key and connection headers are not.
     bool isForwardedHeader(const std::string& name)
@@ -63,11 +63,14 @@
         if (isSent)
             error = connection->send(serviceRequest(request), request.deadline);
         if (error == net::HttpCallError::None)
-            error = connection->readHead(response, request.deadline);
+            error = readOwnHead(
+                *connection, wasReused, request.id, response, request.deadline, "service_answers_foreign_total");
+        request.responseMemory = gateway::ResponseMemoryShare(thread.responseMemory);
         bool isEnd = false;
         while (error == net::HttpCallError::None && !isEnd) {
-            error = connection->readSome(response.body, isEnd, request.deadline);
-            if (error == net::HttpCallError::None && response.body.size() > maxResponseBytes) {
+            std::string piece;
+            error = connection->readSome(piece, isEnd, request.deadline);
+            if (error == net::HttpCallError::None && !request.responseMemory.append(response.body, piece)) {
                 base::counterAdd("service_answers_too_large_total");
                 error = net::HttpCallError::Malformed;
             }
@@ -81,8 +84,7 @@
         // A reused connection may hold the late copy of an earlier response. Only connections whose responses carry
         // request ids are reused, so there a response without one is not this request's.
         std::string_view responseRequestId = net::httpHeader(response.headers, headerRequestId);
-        bool isForeign = responseRequestId != request.id && (wasReused || !responseRequestId.empty());
-        if (isForeign) {
+        if (responseRequestId.empty() && wasReused) {
             base::counterAdd("service_answers_foreign_total");
             return AttemptOutcome::Unknown;
         }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -157,6 +157,7 @@
             if (m_hasAnswered && isJoined)
                 return fail(HttpCallError::Malformed);
             m_isHeadRead = true;
+            m_isRequestInFlight = true; // also if this is one more response to the same request
             return HttpCallError::None;
         }
 
