--- a/lab/UnreliableReplica.cpp
+++ b/lab/UnreliableReplica.cpp
@@ -33,16 +33,16 @@
     m_options.copiedFraction = 0;
     m_options.brokenFraction = 0;
     m_fullUntil = {};
-    for (auto& [connection, channel] : m_channels)
-        channel.copies.clear();
+    for (auto& [connection, known] : m_connections)
+        known.copies.clear();
 }
 
 void UnreliableReplica::restart(const std::string& id)
 {
     m_options.id = id;
     m_fullUntil = {};
-    for (auto& [key, channel] : std::exchange(m_channels, {})) {
-        if (auto connection = channel.connection.lock())
+    for (auto& [key, known] : std::exchange(m_connections, {})) {
+        if (auto connection = known.connection.lock())
             connection->reset();
     }
 }
@@ -62,27 +62,27 @@
     return base::Millis(std::uniform_int_distribution<int64_t>(1, maxTime.count())(m_random));
 }
 
-void UnreliableReplica::record(const std::string& key, int channelNumber, const std::string& text, bool isCopy)
+void UnreliableReplica::record(const std::string& key, int connectionNumber, const std::string& text, bool isCopy)
 {
-    m_events.push_back({ base::Clock::now(), key, channelNumber, text, isCopy });
+    m_events.push_back({ base::Clock::now(), key, connectionNumber, text, isCopy });
 }
 
 // Without an id, only the place of a copy tells whose it is: it is written before the next response, never at a time
 // of its own.
 void UnreliableReplica::copyRefusal(
-    Channel& channel, const std::string& key, const std::string& text, bool isIdentified)
+    ConnectionRecord& known, const std::string& key, const std::string& text, bool isIdentified)
 {
     if (!draw(m_options.copiedFraction))
         return;
     int count = std::uniform_int_distribution<int>(1, m_options.maxCopies)(m_random);
     for (int i = 0; i < count; ++i) {
         if (!isIdentified || !draw(m_options.lateFraction)) {
-            channel.copies += text;
-            channel.copiesOf += fmt::format(" {}{}", key, isIdentified ? "" : " (without an id)");
+            known.copies += text;
+            known.copiesOf += fmt::format(" {}{}", key, isIdentified ? "" : " (without an id)");
             continue;
         }
         base::Millis delay = drawTime(m_options.maxCopyDelay);
-        m_loop.spawn([this, weak = channel.connection, number = channel.number, key, text, delay] {
+        m_loop.spawn([this, weak = known.connection, number = known.number, key, text, delay] {
             net::sleepFor(delay);
             auto connection = weak.lock();
             if (m_isReliable || !connection || !connection->isOpen())
@@ -95,11 +95,11 @@
 
 void UnreliableReplica::respond(ByteConnection& connection, const net::HttpRequest& request)
 {
-    Channel& channel = m_channels[&connection];
-    if (connection.requestNumber() == 0 || !channel.number)
-        channel = { connection.weak_from_this(), ++m_lastChannel, "", "" };
+    ConnectionRecord& known = m_connections[&connection];
+    if (connection.requestNumber() == 0 || !known.number)
+        known = { connection.weak_from_this(), ++m_lastConnection, "", "" };
     std::string key = requestKey(request);
-    Channel due = std::exchange(channel, { channel.connection, channel.number, "", "" });
+    ConnectionRecord due = std::exchange(known, { known.connection, known.number, "", "" });
     bool isMisdirected = net::httpHeader(request.headers, "Expect-Instance") != m_options.id;
     base::TimePoint now = base::Clock::now();
     if (now >= m_fullUntil && draw(m_options.fullFraction))
@@ -116,11 +116,11 @@
     if (!due.copies.empty())
         record(key, due.number, "writes copies of the refusals of" + due.copiesOf, true);
     record(key, due.number, fmt::format("refused: {}{}", status, isIdentified ? "" : ", without an id"));
-    copyRefusal(channel, key, text, isIdentified);
+    copyRefusal(known, key, text, isIdentified);
     connection.send(due.copies + text);
 }
 
-void UnreliableReplica::answer(ByteConnection& connection, const net::HttpRequest& request, const Channel& due)
+void UnreliableReplica::answer(ByteConnection& connection, const net::HttpRequest& request, const ConnectionRecord& due)
 {
     std::string key = requestKey(request);
     std::string id(net::httpHeader(request.headers, "Request-Id"));
--- a/lab/UnreliableReplica.h
+++ b/lab/UnreliableReplica.h
@@ -54,7 +54,7 @@
     const std::string& id() const { return m_options.id; }
 
 private:
-    struct Channel {
+    struct ConnectionRecord {
         std::weak_ptr<ByteConnection> connection;
         int number = 0;
         std::string copies;   // to be written before the next response
@@ -62,20 +62,20 @@
     };
 
     void respond(ByteConnection&, const net::HttpRequest&);
-    void answer(ByteConnection&, const net::HttpRequest&, const Channel&);
-    void copyRefusal(Channel&, const std::string& key, const std::string& text, bool isIdentified);
-    void record(const std::string& key, int channelNumber, const std::string& text, bool isCopy = false);
+    void answer(ByteConnection&, const net::HttpRequest&, const ConnectionRecord&);
+    void copyRefusal(ConnectionRecord&, const std::string& key, const std::string& text, bool isIdentified);
+    void record(const std::string& key, int connectionNumber, const std::string& text, bool isCopy = false);
     bool draw(double fraction);
     base::Millis drawTime(base::Millis maxTime); // at least 1 ms
 
     net::Loop& m_loop;
     UnreliableReplicaOptions m_options;
     std::mt19937_64 m_random;
-    std::map<ByteConnection*, Channel> m_channels;
+    std::map<ByteConnection*, ConnectionRecord> m_connections;
     std::map<std::string, int> m_runs;
     std::vector<UnreliableReplicaEvent> m_events;
     base::TimePoint m_fullUntil {};
-    int m_lastChannel = 0;
+    int m_lastConnection = 0;
     bool m_isReliable = false;
     ByteStandIn m_server;
 };
