--- a/tests/RefusalCopyTests.cpp
+++ b/tests/RefusalCopyTests.cpp
@@ -206,7 +206,7 @@
 }
 
 // A copy that is cut, and the response after it, look like one head that bears the request's id.
-Test(refusal_copy, a_cut_copy_does_not_lend_its_status_to_the_next_response, .timeout = 60)
+Test(refusal_copy, a_cut_copy_and_the_next_response_are_not_read_as_one, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
         const std::string copies[] = { refusalOf(503, "", "Not-Executed: 1\r\nDate: Sun, 06 Dec 2026\r\n"),
