--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 mkdir -p "$out"
 compile() { g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "$1.cpp" -o "$out/$1.o"; }
 shared=(Lab Deployment EngineReplica)
-cases=(Smuggled Crowd Names LateOrder)
+cases=(Smuggled Crowd Names LateOrder Stall)
 for name in "${shared[@]}" "${cases[@]}"; do compile "$name" & done
 for job in $(jobs -p); do wait "$job"; done
 objects=("${shared[@]/#/$out/}")
