--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,8 @@
 out=../../target/review-2
 mkdir -p "$out"
 compile() { g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "$1.cpp" -o "$out/$1.o"; }
-shared=(Lab Deployment EngineReplica)
-cases=(Smuggled Crowd Names LateOrder Stall)
+shared=(Lab Deployment)
+cases=(Smuggled Crowd Names Poison Stall)
 for name in "${shared[@]}" "${cases[@]}"; do compile "$name" & done
 for job in $(jobs -p); do wait "$job"; done
 objects=("${shared[@]/#/$out/}")
