Keep the watch test's pace alive until its stand-in's fibers have ended

Cause: the stand-in's script reads `pace` after the test's frame, which held it, has ended: the fiber wakes from its pause once more before it sees that its connection is closed.

Change: the script shares ownership of the pace. What is checked is the same.

--- a/tests/EndlessServeResponseTests.cpp
+++ b/tests/EndlessServeResponseTests.cpp
@@ -36,18 +36,18 @@
             size_t bytes;
             base::Millis interval;
         };
-        Pace pace {};
-        ByteStandIn service(loop, [&](ByteConnection& connection, const net::HttpRequest&) {
+        auto pace = std::make_shared<Pace>(); // the service's fibers end after this frame
+        ByteStandIn service(loop, [pace](ByteConnection& connection, const net::HttpRequest&) {
             connection.send("HTTP/1.1 200 OK\r\n\r\n");
-            while (connection.send(std::string(pace.bytes, 'x')))
-                net::sleepFor(pace.interval);
+            while (connection.send(std::string(pace->bytes, 'x')))
+                net::sleepFor(pace->interval);
         });
         std::string error;
         cr_assert(service.listen(error), "%s", error.c_str());
         coordination::KvClientOptions options { { service.address() } };
         options.watchTimeout = base::Millis(500);
         for (Pace tried : { Pace { 64 * 1024, base::Millis(1) }, Pace { 1, base::Millis(50) } }) {
-            pace = tried;
+            *pace = tried;
             coordination::HttpKv kv(loop, options);
             bool isEnded = false;
             loop.spawn([&] {
@@ -58,7 +58,7 @@
             while (!isEnded && base::Clock::now() - startedAt < base::Seconds(3))
                 net::sleepFor(base::Millis(10));
             cr_expect_lt(base::Clock::now() - startedAt, options.watchTimeout + answerMargin, "%zu bytes every %lld ms",
-                pace.bytes, static_cast<long long>(pace.interval.count()));
+                tried.bytes, static_cast<long long>(tried.interval.count()));
             cr_expect_lt(peakResidentBytes(), maxPeakBytes, "peak of %zu MB", peakResidentBytes() >> 20);
             kv.close();
             while (!isEnded)
