Show whether a daemon reaches any replica

Change: connections to replicas are opened by reach/ReplicaDialer. A connection that fails, or a second without a byte while requests wait, begins a check: connections to two other replicas, each for 300 ms. Where none opens, the daemon logs reach.lost, checks again each 0.5 s and logs reach.back; the gauge replicas_reached tells the same. One replica that fails, or a silent second of several, shows nothing as long as another one accepts a connection; bytes on open connections don't count, as these may live on while new ones are refused. What a check opens goes to the pool. No decision about a request or an order changes.

--- a/lab/GatewayFleet.cpp
+++ b/lab/GatewayFleet.cpp
@@ -10,12 +10,22 @@
     constexpr base::Millis readyPollInterval { 10 };
     constexpr base::Seconds readyTimeout { 10 };
     constexpr int64_t requestDeadlineMs = 6000; // sent in the Deadline-Ms header
+
+    net::ConnectOptions connectOptions(ReplicaLinks* links)
+    {
+        net::ConnectOptions options;
+        if (links)
+            options.dialAddress = [links](const base::Address& replica) { return links->dialAddress(replica); };
+        return options;
+    }
 }
 
 LabGateway::LabGateway(net::Loop& loop, const base::Address& address, const std::string& name,
-    const gateway::GatewayOptions& gatewayOptions, const hub::HubSyncOptions& hubSyncOptions)
+    const gateway::GatewayOptions& gatewayOptions, const hub::HubSyncOptions& hubSyncOptions,
+    std::unique_ptr<ReplicaLinks> links)
     : codec(platform::wireCodecCreate())
     , store(loop, { address, base::Millis(400) })
+    , replicaLinks(std::move(links))
     , hubSync(
           loop,
           [&] {
@@ -25,8 +35,16 @@
               return options;
           }(),
           codec, store)
-    , gateway(loop, gatewayOptions, codec, hubSync)
-    , placer(loop, {}, hubSync, codec)
+    , dialer(loop, { connectOptions(replicaLinks.get()), {} }, hubSync)
+    , gateway(
+          loop,
+          [&] {
+              gateway::GatewayOptions options = gatewayOptions;
+              options.connections.connect = connectOptions(replicaLinks.get());
+              return options;
+          }(),
+          codec, hubSync, dialer)
+    , placer(loop, {}, hubSync, codec, dialer)
 {
 }
 
@@ -62,8 +80,8 @@
 
 LabGateway& GatewayFleet::addGateway(const std::string& name, std::optional<base::Address> store)
 {
-    m_gateways.push_back(
-        std::make_unique<LabGateway>(m_loop, store.value_or(m_store.address()), name, gatewayOptions, hubSyncOptions));
+    m_gateways.push_back(std::make_unique<LabGateway>(m_loop, store.value_or(m_store.address()), name, gatewayOptions,
+        hubSyncOptions, hasReplicaLinks ? std::make_unique<ReplicaLinks>(m_loop) : nullptr));
     LabGateway& gateway = *m_gateways.back();
     std::string error;
     gateway.gateway.listen({ "127.0.0.1", 0 }, error);
@@ -104,6 +122,7 @@
     m_killedGateways.push_back(std::move(*killed));
     m_gateways.erase(killed);
     gateway.placer.stop();
+    gateway.dialer.stop();
     gateway.gateway.beginDrain(); // ends its fibers; its callers are cut off below
     gateway.gateway.stopAccepting();
     gateway.gateway.closeAll();
@@ -138,7 +157,10 @@
         gateway->gateway.beginDrain();
         gateway->gateway.stopAccepting();
         gateway->gateway.closeAll();
+        gateway->dialer.stop();
         gateway->hubSync.stop();
+        if (gateway->replicaLinks)
+            gateway->replicaLinks->stop();
     }
     for (auto& [id, replica] : m_replicas)
         replica->stop();
--- a/lab/GatewayFleet.h
+++ b/lab/GatewayFleet.h
@@ -6,23 +6,27 @@
 #include <string>
 #include <vector>
 
+#include "ReplicaLinks.h"
 #include "ReplicaStandIn.h"
 #include "StoreStandIn.h"
 #include "gateway/Gateway.h"
 #include "hub/HubSync.h"
 #include "models/Placer.h"
 #include "platform/StoreClient.h"
+#include "reach/ReplicaDialer.h"
 
 namespace rattanshunt::lab {
 
 // One gateway with its dependencies.
 struct LabGateway {
     LabGateway(net::Loop&, const base::Address& store, const std::string& name, const gateway::GatewayOptions&,
-        const hub::HubSyncOptions&);
+        const hub::HubSyncOptions&, std::unique_ptr<ReplicaLinks>);
 
     gateway::WireCodec codec;
     platform::StoreClient store;
+    std::unique_ptr<ReplicaLinks> replicaLinks; // null: replicas are dialled at their own addresses
     hub::HubSync hubSync;
+    reach::ReplicaDialer dialer;
     gateway::Gateway gateway;
     models::Placer placer;
 };
@@ -59,6 +63,7 @@
     // Options of gateways that are added from now on.
     gateway::GatewayOptions gatewayOptions;
     hub::HubSyncOptions hubSyncOptions;
+    bool hasReplicaLinks = false; // gateways that are added reach replicas over links that can be cut
 
 private:
     net::Loop& m_loop;
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -54,8 +54,9 @@
             , m_codec(platform::wireCodecCreate())
             , m_store(m_loop, { settings.storeAddress })
             , m_hubSync(m_loop, hubSyncOptions(settings), m_codec, m_store)
-            , m_gateway(m_loop, gatewayOptions(settings), m_codec, m_hubSync)
-            , m_placer(m_loop, {}, m_hubSync, m_codec)
+            , m_dialer(m_loop, dialerOptions(settings), m_hubSync)
+            , m_gateway(m_loop, gatewayOptions(settings), m_codec, m_hubSync, m_dialer)
+            , m_placer(m_loop, {}, m_hubSync, m_codec, m_dialer)
         {
         }
 
@@ -168,6 +169,7 @@
             gauge("requests_under_way", static_cast<double>(m_gateway.requestsInFlight()));
             gauge("is_hub", m_hubSync.isHub() ? 1 : 0);
             gauge("members", static_cast<double>(m_hubSync.memberCount()));
+            gauge("replicas_reached", m_dialer.hasLostReplicas() ? 0 : 1);
             gauge("replicas_limited", static_cast<double>(m_hubSync.limitedReplicaCount()));
             gauge("replicas_cold", static_cast<double>(m_hubSync.coldReplicaCount()));
             gauge("prompt_parts_blocked", static_cast<double>(m_hubSync.blockedPartCount()));
@@ -264,6 +266,7 @@
         gateway::WireCodec m_codec;
         platform::StoreClient m_store;
         hub::HubSync m_hubSync;
+        reach::ReplicaDialer m_dialer;
         gateway::Gateway m_gateway;
         models::Placer m_placer;
         net::Event m_stopRequested;
--- a/src/cli/GatewayDaemonOptions.cpp
+++ b/src/cli/GatewayDaemonOptions.cpp
@@ -42,7 +42,7 @@
     options.retryBudget.extraRetries = settings.extraRetries;
     options.retryBudget.window = settings.retryWindow;
     options.memoryPlan = net::memoryPlan(static_cast<size_t>(settings.memoryMb * bytesPerMb), settings.maxDescriptors);
-    options.connections.receiveBufferBytes = options.memoryPlan.receiveBufferBytes;
+    options.connections.connect.receiveBufferBytes = options.memoryPlan.receiveBufferBytes;
     return options;
 }
 
@@ -70,4 +70,11 @@
     return options;
 }
 
+reach::DialerOptions dialerOptions(const settings::GatewaySettings& settings)
+{
+    reach::DialerOptions options;
+    options.connect = gatewayOptions(settings).connections.connect;
+    return options;
+}
+
 } // namespace rattanshunt::cli
--- a/src/cli/GatewayDaemonOptions.h
+++ b/src/cli/GatewayDaemonOptions.h
@@ -6,11 +6,13 @@
 
 #include "gateway/Gateway.h"
 #include "hub/HubSync.h"
+#include "reach/ReplicaDialer.h"
 #include "settings/GatewaySettings.h"
 
 namespace rattanshunt::cli {
 
 gateway::GatewayOptions gatewayOptions(const settings::GatewaySettings&);
 hub::HubSyncOptions hubSyncOptions(const settings::GatewaySettings&);
+reach::DialerOptions dialerOptions(const settings::GatewaySettings&);
 
 } // namespace rattanshunt::cli
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -33,17 +33,25 @@
 
 } // namespace
 
-Gateway::Gateway(net::Loop& loop, GatewayOptions options, const WireCodec& codec, hub::HubSync& hubSync)
+Gateway::Gateway(net::Loop& loop, GatewayOptions options, const WireCodec& codec, hub::HubSync& hubSync,
+    reach::ReplicaDialer& dialer)
     : m_loop(loop)
     , m_options(options)
     , m_codec(codec)
     , m_hubSync(hubSync)
+    , m_dialer(dialer)
     , m_connectionPool(loop, m_options.connections)
     , m_memory(m_options.memoryPlan)
     , m_responseMemory { m_options.responseMemory, 0, &m_memory }
     , m_waitingQueue(m_options.waitingQueue)
 {
     m_options.retryBudget.processStartedAt = BootClock::now();
+    m_dialer.setSpareSink([this](auto connection) { m_connectionPool.add(std::move(connection)); });
+}
+
+Gateway::~Gateway()
+{
+    m_loop.timers().cancel(m_silenceTimer);
 }
 
 bool Gateway::listen(const base::Address& address, std::string& error)
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -28,6 +28,7 @@
 #include "hub/HubSync.h"
 #include "net/Http.h"
 #include "pace/ReplicaPace.h"
+#include "reach/ReplicaDialer.h"
 #include "spill/SpillPlan.h"
 
 namespace rattanshunt::gateway {
@@ -49,6 +50,7 @@
     WaitOptions waiting;
     admission::WaitingOptions waitingQueue;
     base::Millis sweepInterval { 1000 };   // for closing expired idle connections
+    base::Millis silenceInterval { 250 };  // between two looks at requests that wait for bytes from replicas
     base::Millis failureHalfLife { 2500 }; // of a replica's failureScore
     // A replica that the hub cannot reach is used for this long after its last complete response to this daemon.
     base::Millis recentSuccessPeriod { 2000 };
@@ -67,7 +69,8 @@
 
 class Gateway {
 public:
-    Gateway(net::Loop&, GatewayOptions, const WireCodec&, hub::HubSync&);
+    Gateway(net::Loop&, GatewayOptions, const WireCodec&, hub::HubSync&, reach::ReplicaDialer&);
+    ~Gateway();
 
     // -- commands --
     bool listen(const base::Address&, std::string& error);
@@ -146,6 +149,8 @@
     void recordTransfer(const RequestContext&, const ReplicaEntry&, const AttemptResult&);
     std::optional<base::BootTime> estimatedReadyAt(const RequestContext&) const;
     AttemptResult runAttempt(RequestContext&, const directory::Replica&);
+    void armSilenceCheck();
+    void checkSilence();
     std::optional<Refusal> partRefusal(RequestContext&);
     void beginPartEvidence(RequestContext&);
     void recordPartEvidence(RequestContext&, const ReplicaEntry&, AttemptResult&);
@@ -183,6 +188,7 @@
     GatewayOptions m_options;
     const WireCodec& m_codec;
     hub::HubSync& m_hubSync;
+    reach::ReplicaDialer& m_dialer;
     net::ConnectionPool m_connectionPool;
     net::MemoryAccount m_memory;
     ResponseMemory m_responseMemory;
@@ -202,6 +208,7 @@
     std::map<std::string, double> m_responseBytes;     // mean of a response, by route
     std::map<std::string, base::BootTime> m_partRefusalLoggedAt; // by part
     std::map<std::string, UsualTime> m_usualTimes; // by route, from sending a request to the end of its response
+    net::TimerId m_silenceTimer = 0;               // 0: not set
     base::BootTime m_endsAt = base::BootTime::max();
     size_t m_checkedBodyBytes = 0; // for which a shortage of memory was logged
     bool m_isDraining = false;
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -204,6 +204,30 @@
                 { "connect_ms", millisSince(now, attemptBegunAt) } });
 }
 
+// Looks at the requests that wait for bytes, as long as there are any.
+void Gateway::armSilenceCheck()
+{
+    if (!m_silenceTimer)
+        m_silenceTimer = m_loop.timers().subscribe(base::Clock::now() + m_options.silenceInterval, [this] {
+            m_silenceTimer = 0;
+            checkSilence();
+        });
+}
+
+void Gateway::checkSilence()
+{
+    std::optional<BootTime> waitingSince;
+    for (const RequestContext* request : m_requests) {
+        if (request->connection && request->attemptSentAt != BootTime {})
+            waitingSince = std::min(
+                waitingSince.value_or(BootTime::max()), std::max(request->attemptSentAt, request->attemptHeardAt));
+    }
+    if (!waitingSince)
+        return;
+    m_dialer.checkSilence(*waitingSince);
+    armSilenceCheck();
+}
+
 AttemptResult Gateway::runAttempt(RequestContext& request, const directory::Replica& replica)
 {
     ReplicaEntry entry = replica.entry; // a copy, as the directory may change during the attempt
@@ -239,6 +263,11 @@
             recordSend(request, entry, begunAt);
         return obstacle;
     };
+    request.openConnection = [this](net::HttpConnection& connection, base::TimePoint deadline) {
+        return m_dialer.connect(connection, deadline);
+    };
+    request.onHeard = [this] { m_dialer.recordHeard(); };
+    armSilenceCheck();
     if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis))
         base::logEvent(LogLevel::Info, "replica.limited_call",
             { { "replica", entry.id }, { "kind", "request" }, { "id", request.head.id } });
@@ -247,6 +276,8 @@
     recordTransfer(request, entry, result);
     if (!attemptIsObsolete(result))
         attempts::progressCountAttempt(request.progress, result.outcome);
+    request.openConnection = nullptr;
+    request.onHeard = nullptr;
     request.findSendObstacle = nullptr;
     request.onLimit = nullptr;
     request.onStatement = nullptr;
@@ -255,6 +286,8 @@
         request.permit.reset();
     bool hasRefused = std::string_view(result.reason) == connectFailedReason && !request.hasCallerLeft;
     bool hasEnded = result.hasConnectionEnded && result.outcome != AttemptOutcome::Complete;
+    if ((hasRefused || hasEnded) && !request.hasCallerLeft)
+        m_dialer.confirmReach(entry.address);
     // A connection that was used before may have been closed for being idle.
     if (hasRefused || (hasEnded && !result.wasConnectionReused))
         m_hubSync.presumeRestarted(entry.id, entry.startedAtMillis);
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -50,6 +50,13 @@
             std::exchange(request.onSettled, nullptr)();
     }
 
+    void recordHeard(RequestContext& request)
+    {
+        request.attemptHeardAt = BootClock::now();
+        if (request.onHeard)
+            request.onHeard();
+    }
+
     base::TimePoint steadyDeadline(const RequestContext& request)
     {
         return base::Clock::now() + requestTimeLeft(request, BootClock::now()) + responseMargin;
@@ -65,6 +72,7 @@
             HttpCallError error = request.connection->readHead(response, steadyDeadline(request));
             if (error != HttpCallError::None)
                 return error;
+            recordHeard(request);
             head = codec.readResponseHead(response, request.head.id);
             if (!head.isForOtherRequest) {
                 // A misdirected request was answered by another replica at the address.
@@ -98,6 +106,7 @@
             HttpCallError error = request.connection->readSome(piece, isEnd, steadyDeadline(request));
             if (error != HttpCallError::None)
                 return error;
+            recordHeard(request);
             request.attemptBodyBytes += piece.size();
             base::TimePoint waitsUntil = std::min(base::Clock::now() + maxResponseMemoryWait, steadyDeadline(request));
             bool isAppended = memory.append(body, piece);
@@ -125,6 +134,7 @@
             HttpCallError error = request.connection->readSome(bytes, isEnd, steadyDeadline(request));
             if (error != HttpCallError::None)
                 return makeCallResult(error);
+            recordHeard(request);
             if (request.onFirstByte)
                 std::exchange(request.onFirstByte, nullptr)();
             request.attemptBodyBytes += bytes.size();
@@ -275,12 +285,18 @@
     use.wasReused = connection->isConnected();
     request.connection = connection;
     request.attemptBodyBytes = 0;
+    request.attemptSentAt = {};
+    request.attemptHeardAt = {};
     AttemptResult result;
     base::Millis timeLeft = requestTimeLeft(request, BootClock::now());
-    if (!use.wasReused
-        && connection->connect(base::Clock::now() + std::min(connectTimeout, timeLeft)) != HttpCallError::None) {
-        request.connection = nullptr;
-        return makeResult(AttemptOutcome::NotExecuted, connectFailedReason, !request.hasCallerLeft);
+    if (!use.wasReused) {
+        base::TimePoint deadline = base::Clock::now() + std::min(connectTimeout, timeLeft);
+        HttpCallError error
+            = request.openConnection ? request.openConnection(*connection, deadline) : connection->connect(deadline);
+        if (error != HttpCallError::None) {
+            request.connection = nullptr;
+            return makeResult(AttemptOutcome::NotExecuted, connectFailedReason, !request.hasCallerLeft);
+        }
     }
     // Connecting may have taken long, or the machine may have been suspended meanwhile.
     timeLeft = requestTimeLeft(request, BootClock::now());
@@ -294,6 +310,7 @@
     }
     AttemptTarget target { replica.id, request.accountName, timeLeft, request.priority, request.eventSplitter.lastId };
     use.sentAt = base::Clock::now();
+    request.attemptSentAt = BootClock::now();
     HttpCallError error = connection->send(codec.writeAttempt(request.exchange.request(), target),
         request.exchange.request().body, steadyDeadline(request));
     if (error != HttpCallError::None)
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -63,20 +63,25 @@
     RequestProgress progress {};
     std::string lastReplicaId {}; // to which the last attempt was made; empty: none was made
     EventSplitter eventSplitter {};
-    std::optional<std::string> pinnedVersion {};              // of replicas; the stream goes on at no other one
-    std::function<void()> onFirstEvent {};                    // called before the attempt's first event is forwarded
-    std::string blockedPart {};                               // or the request's key, that the request is refused for
-    std::vector<std::string> sharedParts {};                  // ids of the prompt's parts but the last
-    std::string requestKey {};                                // the same when the caller sends the request again
-    base::BootTime attemptFirstEventAt {};                    // time of the first event of the present attempt
-    bool isAwaitingModel = false;                             // waiting, and no replica has the model loaded
-    bool hasWaitedForSlot = false;                            // has been in the queue for slots
-    bool hasCallerLeft = false;                               // the caller has disconnected
-    base::Duration totalWait { 0 };                           // time spent waiting for a replica, over all attempts
-    base::BootTime firstEventAt {};                           // time at which the first event of a stream was forwarded
-    base::BootTime lastEventAt {};                            // time at which the last event was forwarded
-    base::Duration longestEventGap { 0 };                     // between two events of the stream
-    net::HttpConnection* connection = nullptr;                // to the replica, during an attempt
+    std::optional<std::string> pinnedVersion {}; // of replicas; the stream goes on at no other one
+    std::function<void()> onFirstEvent {};       // called before the attempt's first event is forwarded
+    std::string blockedPart {};                  // or the request's key, that the request is refused for
+    std::vector<std::string> sharedParts {};     // ids of the prompt's parts but the last
+    std::string requestKey {};                   // the same when the caller sends the request again
+    base::BootTime attemptFirstEventAt {};       // time of the first event of the present attempt
+    base::BootTime attemptSentAt {};             // when the present attempt was sent; default: not yet
+    base::BootTime attemptHeardAt {};            // when its last bytes arrived
+    bool isAwaitingModel = false;                // waiting, and no replica has the model loaded
+    bool hasWaitedForSlot = false;               // has been in the queue for slots
+    bool hasCallerLeft = false;                  // the caller has disconnected
+    base::Duration totalWait { 0 };              // time spent waiting for a replica, over all attempts
+    base::BootTime firstEventAt {};              // time at which the first event of a stream was forwarded
+    base::BootTime lastEventAt {};               // time at which the last event was forwarded
+    base::Duration longestEventGap { 0 };        // between two events of the stream
+    net::HttpConnection* connection = nullptr;   // to the replica, during an attempt
+    // Opens a connection for an attempt, until a deadline; empty: connects it directly. May suspend.
+    std::function<net::HttpCallError(net::HttpConnection&, base::TimePoint)> openConnection {};
+    std::function<void()> onHeard {};                         // called when bytes have arrived from the replica
     std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
     std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
     std::function<void(const NamedLimit&)> onLimit {};        // called with what each response's head says
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -19,11 +19,13 @@
     constexpr size_t maxReportBytes = 256 * 1024;
 }
 
-Placer::Placer(net::Loop& loop, PlacerOptions options, hub::HubSync& hubSync, const gateway::WireCodec& codec)
+Placer::Placer(net::Loop& loop, PlacerOptions options, hub::HubSync& hubSync, const gateway::WireCodec& codec,
+    reach::ReplicaDialer& dialer)
     : m_loop(loop)
     , m_options(options)
     , m_hubSync(hubSync)
     , m_codec(codec)
+    , m_dialer(dialer)
 {
 }
 
@@ -161,12 +163,16 @@
     auto connection = std::move(state->reportConnection);
     // The copy of an older report would count as a newer one, and might raise the limit.
     if (!connection || isLimited(id, *state) || !connection->isReusable())
-        connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
+        connection = m_dialer.create(replica->second.entry.address);
+    base::Address address = replica->second.entry.address;
     net::HttpResult result = net::httpCall(
         *connection, m_codec.writeReportRequest(), base::Clock::now() + m_options.reportTimeout, maxReportBytes);
     state->isReportPending = false;
     std::optional<gateway::ReplicaReport> report;
+    if (result.error != net::HttpCallError::None)
+        m_dialer.confirmReach(address);
     if (result.error == net::HttpCallError::None) {
+        m_dialer.recordHeard();
         report = m_codec.readReport(result.response);
         recordLimit(id, *state, result.response, requestedAt, true);
     }
--- a/src/models/Placer.h
+++ b/src/models/Placer.h
@@ -17,6 +17,7 @@
 #include "models/ReplicaLedger.h"
 #include "models/StoreConcurrency.h"
 #include "net/Http.h"
+#include "reach/ReplicaDialer.h"
 
 namespace rattanshunt::models {
 
@@ -45,7 +46,7 @@
 
 class Placer {
 public:
-    Placer(net::Loop&, PlacerOptions, hub::HubSync&, const gateway::WireCodec&);
+    Placer(net::Loop&, PlacerOptions, hub::HubSync&, const gateway::WireCodec&, reach::ReplicaDialer&);
 
     // -- commands --
     void start();
@@ -98,6 +99,7 @@
     PlacerOptions m_options;
     hub::HubSync& m_hubSync;
     const gateway::WireCodec& m_codec;
+    reach::ReplicaDialer& m_dialer;
     bool m_isStopping = false;
     bool m_wasHub = false;
     net::Event m_wake;          // set when a member reports demand or a job has ended
--- a/src/models/PlacerJobs.cpp
+++ b/src/models/PlacerJobs.cpp
@@ -128,9 +128,9 @@
     std::shared_ptr<ReplicaState> state = found->second;
     // Answers to orders carry no id. On a connection that carried another call, a late copy of that call's answer could
     // be taken for this one.
-    auto connection = net::HttpConnection::create(m_loop, replica->second.entry.address);
+    auto connection = m_dialer.create(replica->second.entry.address);
     base::TimePoint deadline = base::Clock::now() + m_options.orderTimeout;
-    if (connection->connect(deadline) != net::HttpCallError::None)
+    if (m_dialer.connect(*connection, deadline) != net::HttpCallError::None)
         return OrderResult::Conflict; // not sent; the next attempt starts with a report, as after a conflict
     // Connecting may have taken long, so permission to issue orders is checked last.
     if (!m_hubSync.mayOrder(BootClock::now()) || m_fencingToken != m_hubSync.fencingToken())
--- a/src/net/ConnectionPool.cpp
+++ b/src/net/ConnectionPool.cpp
@@ -38,7 +38,7 @@
         }
     }
     base::counterAdd("replica_connections_opened_total");
-    return { HttpConnection::create(m_loop, address, m_options.receiveBufferBytes), {} };
+    return { HttpConnection::create(m_loop, address, m_options.connect), {} };
 }
 
 bool ConnectionPool::hasIdle(const base::Address& address, bool isAtMostOnce) const
@@ -59,6 +59,16 @@
     base::Duration limit = m_options.maxIdleTime;
     if (idleTimeout)
         limit = std::min<base::Duration>(limit, *idleTimeout - m_options.idleTimeoutMargin);
+    keep(std::move(pooled), limit);
+}
+
+void ConnectionPool::add(std::unique_ptr<HttpConnection> connection)
+{
+    keep({ std::move(connection), {} }, m_options.maxIdleTimeAtMostOnce);
+}
+
+void ConnectionPool::keep(PooledConnection pooled, base::Duration limit)
+{
     if (limit <= base::Duration(0))
         return;
     auto& idle = m_idleConnections[base::formatAddress(pooled.connection->address())];
--- a/src/net/ConnectionPool.h
+++ b/src/net/ConnectionPool.h
@@ -28,7 +28,7 @@
     base::Millis maxIdleTimeAtMostOnce { 1500 }; // of a connection that a request may reuse which runs at most once
     base::Millis idleTimeoutMargin { 1000 };     // how long before the server's own idle timeout to close
     size_t maxIdlePerAddress = 8;                // idle connections kept
-    size_t receiveBufferBytes = 0;               // of the system for each connection; 0: its default
+    ConnectOptions connect {};                   // of new connections
 };
 
 // The request that a connection is needed for.
@@ -58,6 +58,9 @@
     void release(
         PooledConnection, std::string_view answeredId, std::optional<base::Seconds> idleTimeout = std::nullopt);
 
+    // Adds an open connection that has carried no request yet.
+    void add(std::unique_ptr<HttpConnection>);
+
     // Closes all idle connections to an address, because another server may have it now.
     void closeIdle(const base::Address&);
 
@@ -72,6 +75,7 @@
     };
 
     static bool isUsable(const IdleConnection&, base::BootTime now); // by any request
+    void keep(PooledConnection, base::Duration limit);
     bool isRecentEnough(const IdleConnection&, bool isAtMostOnce, base::BootTime now) const;
 
     Loop& m_loop;
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -123,12 +123,17 @@
 
 const char* httpCallErrorName(HttpCallError);
 
+struct ConnectOptions {
+    size_t receiveBufferBytes = 0; // that the system receives ahead; 0: its default
+    // The address that a server is dialled at, by the server's own; empty: the same. For tests that cut links.
+    std::function<base::Address(const base::Address&)> dialAddress {};
+};
+
 // One client connection with at most one request in flight. May only be used on the thread of its loop and by one
 // fiber at a time, except for cancel(), which any fiber or handler of the thread may call.
 class HttpConnection {
 public:
-    // `receiveBufferBytes` bounds what the system receives ahead; 0: its default.
-    static std::unique_ptr<HttpConnection> create(Loop&, const base::Address&, size_t receiveBufferBytes = 0);
+    static std::unique_ptr<HttpConnection> create(Loop&, const base::Address&, ConnectOptions = {});
     virtual ~HttpConnection() = default;
 
     // Each call suspends until it is done or until `deadline`. send() copies no body; that of `head` is not used. The
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -75,10 +75,10 @@
 
     class ClientConnection : public HttpConnection {
     public:
-        ClientConnection(Loop& loop, const base::Address& address, size_t receiveBufferBytes)
+        ClientConnection(Loop& loop, const base::Address& address, ConnectOptions options)
             : m_loop(loop)
             , m_address(address)
-            , m_receiveBufferBytes(receiveBufferBytes)
+            , m_options(std::move(options))
             , m_socket(loop.io())
         {
         }
@@ -86,19 +86,19 @@
         HttpCallError connect(base::TimePoint deadline) override
         {
             ErrorCode code;
-            asio::ip::address ip = asio::ip::make_address(m_address.ip, code);
+            base::Address dialled = m_options.dialAddress ? m_options.dialAddress(m_address) : m_address;
+            Tcp::endpoint endpoint(asio::ip::make_address(dialled.ip, code), dialled.port);
             if (code)
                 return HttpCallError::ConnectFailed;
             m_isCancelled = false;
-            if (m_receiveBufferBytes && !m_socket.is_open()) {
+            if (m_options.receiveBufferBytes && !m_socket.is_open()) {
                 // Has to be set before the connection is opened, which states the window.
-                Tcp::endpoint endpoint(ip, m_address.port);
                 m_socket.open(endpoint.protocol(), code);
                 m_socket.set_option(
-                    asio::socket_base::receive_buffer_size(static_cast<int>(m_receiveBufferBytes)), code);
+                    asio::socket_base::receive_buffer_size(static_cast<int>(m_options.receiveBufferBytes)), code);
             }
-            IoResult result = awaitUntil(deadline,
-                [&](auto handler) { m_socket.async_connect(Tcp::endpoint(ip, m_address.port), std::move(handler)); });
+            IoResult result
+                = awaitUntil(deadline, [&](auto handler) { m_socket.async_connect(endpoint, std::move(handler)); });
             if (result.error || m_isCancelled) {
                 close();
                 return HttpCallError::ConnectFailed;
@@ -258,7 +258,7 @@
 
         Loop& m_loop;
         base::Address m_address;
-        size_t m_receiveBufferBytes;
+        ConnectOptions m_options;
         Tcp::socket m_socket;
         beast::flat_buffer m_buffer { maxUnparsedBytes };
         std::optional<http::response_parser<PieceBody>> m_parser;
@@ -274,10 +274,9 @@
 
 } // namespace
 
-std::unique_ptr<HttpConnection> HttpConnection::create(
-    Loop& loop, const base::Address& address, size_t receiveBufferBytes)
+std::unique_ptr<HttpConnection> HttpConnection::create(Loop& loop, const base::Address& address, ConnectOptions options)
 {
-    return std::make_unique<ClientConnection>(loop, address, receiveBufferBytes);
+    return std::make_unique<ClientConnection>(loop, address, std::move(options));
 }
 
 HttpResult httpCall(
--- /dev/null
+++ b/src/reach/ReplicaDialer.h
@@ -0,0 +1,82 @@
+// Opens connections to replicas, and knows whether this daemon reaches any.
+//
+// A connection that fails, or silence while requests wait, begins a check: connections to other replicas, of which one
+// that opens ends the doubt. While none does, a check is made at a fixed interval. Decisions are in ReplicaReach.h.
+//
+// All methods: own thread only. Those marked "suspends" need a fiber.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "hub/HubSync.h"
+#include "net/Http.h"
+#include "reach/ReplicaReach.h"
+
+namespace rattanshunt::reach {
+
+struct DialerOptions {
+    net::ConnectOptions connect; // of all connections to replicas
+    ReachOptions reach;
+};
+
+class ReplicaDialer {
+public:
+    ReplicaDialer(net::Loop&, DialerOptions, hub::HubSync&);
+
+    // -- commands --
+    // Called with connections that a check has opened, which have carried no request. Must not suspend.
+    void setSpareSink(std::function<void(std::unique_ptr<net::HttpConnection>)>);
+
+    // Called when this daemon has lost all replicas, and when it reaches one again. Must not suspend.
+    void subscribe(std::function<void()> onChange);
+
+    // Opens a connection that is not open yet, until `deadline`. Suspends.
+    net::HttpCallError connect(net::HttpConnection&, base::TimePoint deadline);
+
+    // Call when a connection to `replica` was refused or has ended without an answer. Returns whether this daemon
+    // reaches other replicas. Suspends for a check if nothing recent shows that.
+    bool confirmReach(const base::Address& replica);
+
+    // Call when bytes have arrived from a replica.
+    void recordHeard();
+
+    // Call while requests wait for bytes from replicas, since `waitingSince`. Begins a check if it is due.
+    void checkSilence(base::BootTime waitingSince);
+
+    void stop() { m_isStopping = true; }
+
+    // -- queries --
+    std::unique_ptr<net::HttpConnection> create(const base::Address&) const;
+    bool hasLostReplicas() const { return m_reach.isLost; }
+    const ReachOptions& options() const { return m_options.reach; }
+
+private:
+    // A connection that one of the fibers of a check opens.
+    struct Check {
+        size_t pendingDials = 0;
+        bool hasConnected = false;
+        net::Event done;
+    };
+
+    std::vector<base::Address> checkTargets(const base::Address& except) const;
+    void runCheck(const base::Address& except);
+    void dialForCheck(const base::Address&, const std::shared_ptr<Check>&);
+    void recheckLoop();
+    void recordConnected();
+    void notify();
+
+    net::Loop& m_loop;
+    DialerOptions m_options;
+    hub::HubSync& m_hubSync;
+    std::function<void(std::unique_ptr<net::HttpConnection>)> m_spareSink;
+    std::vector<std::function<void()>> m_subscribers;
+    ReplicaReach m_reach;
+    std::vector<net::Event*> m_checkWaiters;
+    bool m_isChecking = false;
+    bool m_isRechecking = false;
+    bool m_isStopping = false;
+};
+
+} // namespace rattanshunt::reach
