--- /dev/null
+++ b/tests/ReplicaLinkTests.cpp
@@ -0,0 +1,75 @@
+// Gateways that lose their links to all replicas, while callers, the store and other gateways reach them.
+#include "ReplicaLinkFixture.h"
+
+using namespace rattanshunt;
+using namespace rattanshunt::lab;
+using tests::ReplicaLinkFixture;
+
+namespace {
+
+struct CutCase {
+    LinkCut how;
+    size_t gatewayCount;
+    size_t cutCount;
+    bool isHubCut;
+};
+
+// The users' rule: from contactTime after the cut, first tries at the gateways that were cut off are served at least
+// two thirds as often as those at the others.
+void expectCallersServed(const CutCase& cut)
+{
+    tests::runOnLoop([&](net::Loop& loop) {
+        ReplicaLinkFixture fixture(loop, cut.gatewayCount);
+        fixture.callAll(base::Millis(1000));
+        cr_assert_geq(fixture.otherTries.servedShare(), 0.99);
+        fixture.cut(cut.how, cut.cutCount, cut.isHubCut);
+        fixture.callAll(ReplicaLinkFixture::contactTime);
+        fixture.callAll(base::Millis(3000));
+        cr_expect_geq(fixture.otherTries.servedShare(), 0.95, "others: %d of %d", fixture.otherTries.served,
+            fixture.otherTries.tries);
+        cr_expect_geq(fixture.cutTries.servedShare(), fixture.otherTries.servedShare() * 2 / 3,
+            "cut off: %d of %d, others: %d of %d", fixture.cutTries.served, fixture.cutTries.tries,
+            fixture.otherTries.served, fixture.otherTries.tries);
+        fixture.heal();
+        fixture.callAll(base::Millis(1500));
+        fixture.callAll(base::Millis(1000));
+        cr_expect_geq(fixture.otherTries.servedShare(), 0.99, "after the cut: %d of %d", fixture.otherTries.served,
+            fixture.otherTries.tries);
+        for (LabGateway* gateway : fixture.gateways)
+            cr_expect(!gateway->dialer.hasLostReplicas());
+        std::map<std::string, int> runs;
+        for (ReplicaStandIn* replica : fixture.replicas) {
+            for (const auto& [id, count] : replica->history().executionsByRequest())
+                runs[id] += count;
+        }
+        for (const auto& [id, count] : runs)
+            cr_expect(count == 1 || !ReplicaLinkFixture::isAtMostOnce(id), "%s ran %d times", id.c_str(), count);
+    });
+}
+
+} // namespace
+
+Test(replica_links, callers_are_served_where_new_connections_are_refused, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::RefuseNew, 5, 2, false });
+}
+
+Test(replica_links, callers_are_served_where_connections_are_reset, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::Reset, 5, 2, false });
+}
+
+Test(replica_links, callers_are_served_where_connections_hang, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::Hang, 5, 2, false });
+}
+
+Test(replica_links, callers_are_served_where_most_gateways_and_the_hub_are_reset, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::Reset, 6, 4, true });
+}
+
+Test(replica_links, callers_are_served_where_most_gateways_and_the_hub_hang, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::Hang, 6, 4, true });
+}
