Carry connections over other daemons while a daemon reaches no replica

What callers saw: at machines that had lost their links to all replicas 0 to 17 of 73 first tries were served, against nearly all at the others; 503 connect_failed after two to four attempts within 12 ms, or replicas_full after 4.65 s.

Cause: a request goes from the daemon that took it to a replica, or nowhere. The class: one's own lost link is taken for the state of the others, here of each replica tried.

Ruled out: unreadiness alone. The balancer uses all of a data centre's machines once fewer than half are in rotation, an open connection stays with its machine, and the first two seconds are lost in any case.

Change: a daemon that has lost all replicas (reach/ReplicaReach.h) asks another one to carry a TCP connection to the replica that it has selected. It keeps all decisions and rights: quota, permits, retry budget, parts, versions, at most once. The other daemon passes bytes (net/TunnelPump), so streams, backpressure and a caller's leaving work as on a direct connection. One hop at most: a daemon that has lost the replicas too refuses, as does one that stops, carries 100 or knows that the replica leaves or wants quiet; up to six are asked. A connection that ends says nothing of its replica while no other one is reached: it counts neither against the replica nor a prompt part, nor as its restart. An answer that ends with its connection is complete only if the carrying daemon confirms that the replica ended it. Attempts that are silent for 0.5 s when the loss is found are sent again, unless they run at most once. Without any daemon that carries it a request is refused at once with Retry-After. The addresses that the hub gives each member are spread over all names, as neighbours are in one data centre.

--- a/lab/FaultProxy.cpp
+++ b/lab/FaultProxy.cpp
@@ -68,8 +68,12 @@
         while (!isStopped && from.is_open() && to.is_open()) {
             auto read
                 = net::awaitIo([&](auto handler) { from.async_read_some(asio::buffer(buffer), std::move(handler)); });
-            if (read.error)
+            if (read.error) {
+                net::ErrorCode ignored;
+                if (read.error != asio::error::eof)
+                    to.set_option(asio::socket_base::linger(true, 0), ignored); // passes a reset on
                 break;
+            }
             if (!isFromTarget && isHeld({ buffer.data(), read.bytes })) {
                 std::string prefix = heldPrefix;
                 while (heldPrefix == prefix && !isStopped)
--- a/lab/GatewayFleet.cpp
+++ b/lab/GatewayFleet.cpp
@@ -129,6 +129,8 @@
     if (gateway.hubSync.isHub())
         gateway.hubSync.resign("killed"); // leaves the lease to expire
     gateway.hubSync.stop();
+    if (gateway.replicaLinks)
+        gateway.replicaLinks->stop();
 }
 
 bool GatewayFleet::waitReady()
--- a/src/cli/GatewayDaemon.cpp
+++ b/src/cli/GatewayDaemon.cpp
@@ -237,6 +237,7 @@
             m_isStopping = true;
             base::logEvent(LogLevel::Info, "gateway.stopping", { { "under_way", m_gateway.requestsInFlight() } });
             m_gateway.beginDrain(exitDeadline - answerMargin);
+            m_dialer.stopCarrying();
             m_hubSync.leaveElection();
             while (BootClock::now() < std::min(exitDeadline, startedAt + loadBalancerDelay))
                 net::sleepFor(drainPollInterval);
@@ -257,7 +258,8 @@
 
         void waitForConnections(BootTime until)
         {
-            while ((m_gateway.requestsInFlight() || m_gateway.connectionCount()) && BootClock::now() < until)
+            while ((m_gateway.requestsInFlight() || m_gateway.connectionCount() || m_dialer.carriedCount())
+                && BootClock::now() < until)
                 net::sleepFor(drainPollInterval);
         }
 
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -46,6 +46,10 @@
     , m_waitingQueue(m_options.waitingQueue)
 {
     m_options.retryBudget.processStartedAt = BootClock::now();
+    m_dialer.subscribe([this] {
+        if (m_dialer.hasLostReplicas())
+            giveUpSilentAttempts();
+    });
     m_dialer.setSpareSink([this](auto connection) { m_connectionPool.add(std::move(connection)); });
 }
 
@@ -335,6 +339,8 @@
             continue;
         }
         last = std::move(result);
+        if (std::string_view(last.reason) == noLinkReason)
+            return finish(request, attempts::stepWithoutReplica(request.progress), last, m_options.defaultRetryAfter);
         BootTime now = BootClock::now();
         attempts::RetryConditions conditions;
         conditions.mayEndReplicas = last.mayEndReplicas;
@@ -350,7 +356,8 @@
         }
         if (next != NextStep::Retry)
             return finish(request, next, last, m_options.defaultRetryAfter);
-        tried.insert(id);
+        if (!request.hasLostLink)
+            tried.insert(id);
     }
 }
 
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -51,6 +51,7 @@
     admission::WaitingOptions waitingQueue;
     base::Millis sweepInterval { 1000 };   // for closing expired idle connections
     base::Millis silenceInterval { 250 };  // between two looks at requests that wait for bytes from replicas
+    base::Millis lostLinkSilence { 500 };  // of an attempt, after which it is given up when no replica is reached
     base::Millis failureHalfLife { 2500 }; // of a replica's failureScore
     // A replica that the hub cannot reach is used for this long after its last complete response to this daemon.
     base::Millis recentSuccessPeriod { 2000 };
@@ -149,6 +150,10 @@
     void recordTransfer(const RequestContext&, const ReplicaEntry&, const AttemptResult&);
     std::optional<base::BootTime> estimatedReadyAt(const RequestContext&) const;
     AttemptResult runAttempt(RequestContext&, const directory::Replica&);
+    const char* openConnection(
+        RequestContext&, const ReplicaEntry&, std::unique_ptr<net::HttpConnection>&, base::TimePoint deadline);
+    void confirmConnectionEnd(RequestContext&, const ReplicaEntry&, AttemptResult&);
+    void giveUpSilentAttempts();
     void armSilenceCheck();
     void checkSilence();
     std::optional<Refusal> partRefusal(RequestContext&);
--- a/src/gateway/GatewayReplicas.cpp
+++ b/src/gateway/GatewayReplicas.cpp
@@ -204,30 +204,6 @@
                 { "connect_ms", millisSince(now, attemptBegunAt) } });
 }
 
-// Looks at the requests that wait for bytes, as long as there are any.
-void Gateway::armSilenceCheck()
-{
-    if (!m_silenceTimer)
-        m_silenceTimer = m_loop.timers().subscribe(base::Clock::now() + m_options.silenceInterval, [this] {
-            m_silenceTimer = 0;
-            checkSilence();
-        });
-}
-
-void Gateway::checkSilence()
-{
-    std::optional<BootTime> waitingSince;
-    for (const RequestContext* request : m_requests) {
-        if (request->connection && request->attemptSentAt != BootTime {})
-            waitingSince = std::min(
-                waitingSince.value_or(BootTime::max()), std::max(request->attemptSentAt, request->attemptHeardAt));
-    }
-    if (!waitingSince)
-        return;
-    m_dialer.checkSilence(*waitingSince);
-    armSilenceCheck();
-}
-
 AttemptResult Gateway::runAttempt(RequestContext& request, const directory::Replica& replica)
 {
     ReplicaEntry entry = replica.entry; // a copy, as the directory may change during the attempt
@@ -252,8 +228,10 @@
         = [this, &request, &entry, begunAt](const NamedLimit& limit) { recordLimit(request, entry, limit, begunAt); };
     if (request.progress.retryClass == RetryClass::Resumable)
         request.onFirstEvent = [this, &request, &entry] { recordStreamVersion(request, entry); };
-    request.onStatement = [this, &entry](const directory::ReplicaStatement& statement) {
+    request.onStatement = [this, &request, &entry](const directory::ReplicaStatement& statement) {
         m_hubSync.recordStatement(entry.id, entry.startedAtMillis, statement);
+        if (request.relay)
+            m_dialer.passStatement(*request.relay, entry, statement);
         if (statement.isLeaving)
             m_connectionPool.closeIdle(entry.address);
     };
@@ -263,10 +241,17 @@
             recordSend(request, entry, begunAt);
         return obstacle;
     };
-    request.openConnection = [this](net::HttpConnection& connection, base::TimePoint deadline) {
-        return m_dialer.connect(connection, deadline);
+    request.relay.reset();
+    request.hasLostLink = false;
+    request.mayReuseConnections = !m_dialer.hasLostReplicas();
+    request.openConnection
+        = [this, &request, &entry](std::unique_ptr<net::HttpConnection>& connection, base::TimePoint deadline) {
+              return openConnection(request, entry, connection, deadline);
+          };
+    request.onHeard = [this, &request] {
+        if (!request.relay)
+            m_dialer.recordHeard();
     };
-    request.onHeard = [this] { m_dialer.recordHeard(); };
     armSilenceCheck();
     if (m_hubSync.replicaLimit(entry.id, entry.startedAtMillis))
         base::logEvent(LogLevel::Info, "replica.limited_call",
@@ -278,16 +263,16 @@
         attempts::progressCountAttempt(request.progress, result.outcome);
     request.openConnection = nullptr;
     request.onHeard = nullptr;
+    request.confirmEnd = nullptr;
     request.findSendObstacle = nullptr;
     request.onLimit = nullptr;
     request.onStatement = nullptr;
     request.onFirstEvent = nullptr;
     if (result.wasSent)
         request.permit.reset();
+    confirmConnectionEnd(request, entry, result);
     bool hasRefused = std::string_view(result.reason) == connectFailedReason && !request.hasCallerLeft;
     bool hasEnded = result.hasConnectionEnded && result.outcome != AttemptOutcome::Complete;
-    if ((hasRefused || hasEnded) && !request.hasCallerLeft)
-        m_dialer.confirmReach(entry.address);
     // A connection that was used before may have been closed for being idle.
     if (hasRefused || (hasEnded && !result.wasConnectionReused))
         m_hubSync.presumeRestarted(entry.id, entry.startedAtMillis);
@@ -312,9 +297,9 @@
             { { "id", request.head.id }, { "replica", entry.id }, { "attempt", request.progress.attemptsMade },
                 { "end", result.reason }, { "status", result.response.status },
                 { "reused", result.wasConnectionReused }, { "identified", result.wasIdentified },
-                { "took_ms", millisSince(now, begunAt) }, { "trouble", stats.failureScore },
-                { "events", request.eventSplitter.completeEvents }, { "parts", attemptPartsText(request, result) },
-                { "request", attemptKeyText(request, result) } });
+                { "relay", request.relay ? request.relay->name : "" }, { "took_ms", millisSince(now, begunAt) },
+                { "trouble", stats.failureScore }, { "events", request.eventSplitter.completeEvents },
+                { "parts", attemptPartsText(request, result) }, { "request", attemptKeyText(request, result) } });
     recordPartEvidence(request, entry, result);
     offerSlots();
     return result;
--- a/src/gateway/RequestContext.cpp
+++ b/src/gateway/RequestContext.cpp
@@ -234,6 +234,8 @@
         result.hasConnectionEnded = result.hasConnectionEnded || (isRead && isEndedByClose);
         if (result.outcome == AttemptOutcome::Complete && !result.hasConnectionEnded && request.onSettled)
             std::exchange(request.onSettled, nullptr)();
+        if (result.outcome == AttemptOutcome::Complete && isEndedByClose && request.confirmEnd && !request.confirmEnd())
+            result = makeResult(AttemptOutcome::Unknown, "end_not_confirmed", false);
         result.wasMisdirected = head.isMisdirected;
         result.timeToFirstByte = timeToFirstByte;
         // A copy of a response without an id could not be told from the next response on this connection.
@@ -278,8 +280,8 @@
 AttemptResult attemptRun(RequestContext& request, const ReplicaEntry& replica, const WireCodec& codec,
     net::ConnectionPool& pool, ResponseMemory& memory)
 {
-    net::PooledConnection pooled
-        = pool.acquire(replica.address, { request.head.id, request.progress.retryClass == RetryClass::AtMostOnce });
+    net::PooledConnection pooled = pool.acquire(replica.address,
+        { request.mayReuseConnections ? request.head.id : "", request.progress.retryClass == RetryClass::AtMostOnce });
     net::HttpConnection* connection = pooled.connection.get();
     ConnectionUse use;
     use.wasReused = connection->isConnected();
@@ -291,12 +293,18 @@
     base::Millis timeLeft = requestTimeLeft(request, BootClock::now());
     if (!use.wasReused) {
         base::TimePoint deadline = base::Clock::now() + std::min(connectTimeout, timeLeft);
-        HttpCallError error
-            = request.openConnection ? request.openConnection(*connection, deadline) : connection->connect(deadline);
-        if (error != HttpCallError::None) {
+        const char* failure = nullptr;
+        if (request.openConnection)
+            failure = request.openConnection(pooled.connection, deadline);
+        else if (connection->connect(deadline) != HttpCallError::None)
+            failure = connectFailedReason;
+        if (failure) {
             request.connection = nullptr;
-            return makeResult(AttemptOutcome::NotExecuted, connectFailedReason, !request.hasCallerLeft);
+            bool isReplicaFault = !request.hasCallerLeft && std::string_view(failure) == connectFailedReason;
+            return makeResult(AttemptOutcome::NotExecuted, failure, isReplicaFault);
         }
+        connection = pooled.connection.get();
+        request.connection = connection;
     }
     // Connecting may have taken long, or the machine may have been suspended meanwhile.
     timeLeft = requestTimeLeft(request, BootClock::now());
@@ -322,7 +330,7 @@
     result.wasConnectionReused = use.wasReused;
     result.wasIdentified = use.wasIdentified;
     eventsDropPartial(request.eventSplitter);
-    if (use.mayReuse)
+    if (use.mayReuse && !request.relay)
         pool.release(std::move(pooled), request.head.id, use.idleTimeout);
     return result;
 }
--- a/src/gateway/RequestContext.h
+++ b/src/gateway/RequestContext.h
@@ -18,6 +18,7 @@
 #include "net/ConnectionPool.h"
 #include "net/Http.h"
 #include "prompts/PartLedger.h"
+#include "reach/RelayChoice.h"
 
 namespace rattanshunt::gateway {
 
@@ -79,10 +80,15 @@
     base::BootTime lastEventAt {};               // time at which the last event was forwarded
     base::Duration longestEventGap { 0 };        // between two events of the stream
     net::HttpConnection* connection = nullptr;   // to the replica, during an attempt
-    // Opens a connection for an attempt, until a deadline; empty: connects it directly. May suspend.
-    std::function<net::HttpCallError(net::HttpConnection&, base::TimePoint)> openConnection {};
-    std::function<void()> onHeard {};                         // called when bytes have arrived from the replica
-    std::function<void()> onFirstByte {};                     // called once per attempt, at its end at the latest
+    // Opens a connection for an attempt until a deadline, or replaces it by an open one. Returns null, or why it
+    // failed. Empty: connects it. May suspend.
+    std::function<const char*(std::unique_ptr<net::HttpConnection>&, base::TimePoint)> openConnection {};
+    std::optional<reach::Relay> relay {}; // the daemon that carries the attempt's connection
+    bool mayReuseConnections = true;      // open ones to the replica
+    bool hasLostLink = false;             // the attempt was given up as no replica is reached
+    std::function<bool()> confirmEnd {};  // whether the end of a relayed connection is the replica's
+    std::function<void()> onHeard {};     // called when bytes have arrived from the replica
+    std::function<void()> onFirstByte {}; // called once per attempt, at its end at the latest
     std::function<void(const ResponseHead::Load&)> onLoad {}; // called with the load that a response's head reports
     std::function<void(const NamedLimit&)> onLimit {};        // called with what each response's head says
     std::function<void(const directory::ReplicaStatement&)> onStatement {}; // called with what each response says
@@ -129,6 +135,11 @@
 // Reason of attempts that could not open a connection.
 constexpr const char* connectFailedReason = "connect_failed";
 
+// Reasons of attempts without a connection while this daemon has lost all replicas: the daemon that was to carry it
+// knows that the replica leaves or wants quiet; no daemon carries it.
+constexpr const char* relayBarredReason = "relay_barred";
+constexpr const char* noLinkReason = "no_link_to_replicas";
+
 // Timeout for opening a connection to a replica.
 constexpr base::Millis connectTimeout { 700 };
 
--- a/src/hub/HubSync.cpp
+++ b/src/hub/HubSync.cpp
@@ -265,7 +265,7 @@
 }
 
 // Nothing if the record cannot be read.
-std::optional<HubSync::HubRecord> HubSync::readHubRecord(const coordination::KvEntry& entry)
+std::optional<HubRecord> HubSync::readHubRecord(const coordination::KvEntry& entry)
 {
     try {
         Json json = base::jsonParse(entry.value);
@@ -383,6 +383,7 @@
     options.name = m_options.name;
     options.secret = secret;
     m_peers = std::make_unique<net::PeerNetwork>(m_loop, options);
+    m_peers->setTunnelHandler(m_tunnelHandler);
     std::string error;
     bool isListening = m_peers->listen(
         m_options.peerAddress,
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -23,7 +23,6 @@
 //   live-streams/*  {streams: [[service, version, streams]]}, under leases, see hub/OriginWriter.h
 //   rs/usage     {above: [account], era}, without a lease: the accounts that have used more than a known part of their
 //                limit, see quota/UsageRecord.h
-//   rs/usage     {above, era}, without a lease: accounts that have used much of their limit, see quota/UsageRecord.h
 //   rs/secret    the shared secret with which daemons authenticate each other, written once
 //
 // Q: Why a full read and no watch?  A: A read proves freshness and works after the store's history was compacted. A
@@ -153,6 +152,9 @@
     // Suspends for calls to the hub.
     streams::TakeUpKnowledge takeUpKnowledge(const std::string& service, const std::string& requestId);
 
+    // Decides about connections to replicas that other daemons ask this one to carry.
+    void setTunnelHandler(net::TunnelHandler);
+
     // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
@@ -182,6 +184,8 @@
     base::BootTime ordersAllowedAt() const { return m_term.ordersAllowedAt; }
     int64_t fencingToken() const { return m_term.fencingToken; }
     bool storeIsReachable() const { return m_storeIsReachable; }
+    std::map<std::string, base::Address> peerAddresses() const; // of some other daemons, by name
+    net::PeerNetwork* peers() const { return m_peers.get(); }   // null until the fleet's secret is known
 
     // Requests per second that this process of a replica accepts from all daemons; empty: it named no limit.
     std::optional<double> replicaLimit(const std::string& replica, int64_t startedAtMillis) const;
@@ -206,15 +210,6 @@
     const HubSyncOptions& options() const { return m_options; }
 
 private:
-    struct HubRecord {
-        std::string name;
-        base::Address address;
-        std::string incarnation;
-        int64_t createRevision = 0;
-        int64_t modRevision = 0;
-        int64_t lease = 0;
-    };
-
     void run();
     void sleepUntilWoken(base::Duration);
 
@@ -340,6 +335,7 @@
     coordination::Kv& m_kv;
     std::string m_incarnation; // random, new at each start of this process
     std::unique_ptr<net::PeerNetwork> m_peers;
+    net::TunnelHandler m_tunnelHandler;
     std::vector<std::function<void()>> m_subscribers;
     std::function<DemandTable()> m_demandSource;
     std::function<bool()> m_isAwaitingModel;
--- a/src/hub/HubSyncData.h
+++ b/src/hub/HubSyncData.h
@@ -78,6 +78,16 @@
 
 const char* directorySourceName(DirectorySource);
 
+// `rs/hub` as read from the store.
+struct HubRecord {
+    std::string name;
+    base::Address address;
+    std::string incarnation;
+    int64_t createRevision = 0;
+    int64_t modRevision = 0;
+    int64_t lease = 0;
+};
+
 struct HubMember {
     base::Address address;
     std::string dataCenter; // empty: not stated
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -6,6 +6,7 @@
 #include "base/Counters.h"
 #include "base/Log.h"
 #include "hub/HubSyncInternal.h"
+#include "hub/PeerCalls.h"
 
 namespace rattanshunt::hub {
 
@@ -59,6 +60,13 @@
             return handleStreamCall(body);
         if (method == "permit" && body.is_object())
             return handlePermitCall(from, body);
+        if (method == "tunnel_end" && body.is_object())
+            return tunnelEndAnswer(*m_peers, body);
+        if (method == "statement" && body.is_object()) {
+            PassedStatement passed = passedStatementRead(body);
+            recordStatement(passed.replica, passed.startedAtMillis, passed.statement);
+            return Json::object();
+        }
     } catch (const std::exception& error) {
         base::logEvent(LogLevel::Warning, "peer.call_unreadable",
             { { "peer", from }, { "method", method }, { "why", error.what() } });
@@ -129,17 +137,19 @@
     return differing;
 }
 
-// Some other members, which a member can ask if it reaches neither the store nor the hub; others for each member.
+// Some other members, which a member can ask if it reaches neither the store nor the hub, or no replica; others for
+// each member, and spread over all names, as neighbours of a name are in one data centre and fail together.
 Json HubSync::memberAddressSample(const std::string& seed) const
 {
     Json addresses = Json::object();
     if (m_members.empty())
         return addresses;
-    auto member = std::next(m_members.begin(), static_cast<std::ptrdiff_t>(base::stableHash(seed) % m_members.size()));
-    for (size_t i = 0; i < std::min(m_members.size(), maxAddressSample); ++i) {
+    size_t count = std::min(m_members.size(), maxAddressSample);
+    size_t first = base::stableHash(seed) % m_members.size();
+    for (size_t i = 0; i < count; ++i) {
+        size_t index = (first + i * m_members.size() / count) % m_members.size();
+        auto member = std::next(m_members.begin(), static_cast<std::ptrdiff_t>(index));
         addresses[member->first] = base::formatAddress(member->second.address);
-        if (++member == m_members.end())
-            member = m_members.begin();
     }
     return addresses;
 }
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -201,6 +201,26 @@
         notifySubscribers();
 }
 
+std::map<std::string, base::Address> HubSync::peerAddresses() const
+{
+    std::map<std::string, base::Address> addresses = m_memberAddresses;
+    if (m_term.isHeld) {
+        for (const auto& [name, member] : m_members)
+            addresses[name] = member.address;
+    }
+    if (m_hubRecord && !m_hubRecord->name.empty())
+        addresses[m_hubRecord->name] = m_hubRecord->address;
+    addresses.erase(m_options.name);
+    return addresses;
+}
+
+void HubSync::setTunnelHandler(net::TunnelHandler handler)
+{
+    m_tunnelHandler = std::move(handler);
+    if (m_peers)
+        m_peers->setTunnelHandler(m_tunnelHandler);
+}
+
 // Whether the store names a hub that this daemon has not called yet. Requests may be waiting for it.
 bool HubSync::hasUntriedHub() const
 {
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -8,6 +8,7 @@
 #include "net/Http.h"
 #include "net/Loop.h"
 #include "net/SocketPeek.h"
+#include "net/TunnelPump.h"
 
 namespace rattanshunt::net {
 
@@ -82,6 +83,14 @@
             , m_socket(loop.io())
         {
         }
+        ClientConnection(Loop& loop, const base::Address& address, ConnectOptions options, Tcp::socket socket)
+            : m_loop(loop)
+            , m_address(address)
+            , m_options(std::move(options))
+            , m_socket(std::move(socket))
+            , m_isConnected(true)
+        {
+        }
 
         HttpCallError connect(base::TimePoint deadline) override
         {
@@ -279,6 +288,12 @@
     return std::make_unique<ClientConnection>(loop, address, std::move(options));
 }
 
+std::unique_ptr<HttpConnection> httpConnectionAdopt(
+    Loop& loop, const base::Address& server, Tcp::socket socket, ConnectOptions options)
+{
+    return std::make_unique<ClientConnection>(loop, server, std::move(options), std::move(socket));
+}
+
 HttpResult httpCall(
     HttpConnection& connection, const HttpRequest& request, base::TimePoint deadline, size_t maxBodyBytes)
 {
--- a/src/net/PeerConnection.cpp
+++ b/src/net/PeerConnection.cpp
@@ -53,22 +53,28 @@
 void PeerConnection::readLoop(const PeerHandler& handler)
 {
     auto self = shared_from_this();
-    while (isOpen()) {
-        auto payload = readFrame(maxPeerFrameBytes);
-        if (!payload)
-            break;
-        auto message = m_codec->decode(*payload);
-        if (!message || !message->is_array() || message->empty()) {
-            base::counterAdd("peer_frames_refused_total");
-            base::logEvent(base::LogLevel::Warning, "peer.frame_refused", { { "peer", m_peerName } });
-            break;
-        }
-        m_lastReceivedAt = base::Clock::now();
+    while (auto message = readMessage())
         dispatch(std::move(*message), handler);
-    }
     close();
 }
 
+std::optional<json> PeerConnection::readMessage()
+{
+    if (!isOpen())
+        return std::nullopt;
+    auto payload = readFrame(maxPeerFrameBytes);
+    if (!payload)
+        return std::nullopt;
+    auto message = m_codec->decode(*payload);
+    if (!message || !message->is_array() || message->empty()) {
+        base::counterAdd("peer_frames_refused_total");
+        base::logEvent(base::LogLevel::Warning, "peer.frame_refused", { { "peer", m_peerName } });
+        return std::nullopt;
+    }
+    m_lastReceivedAt = base::Clock::now();
+    return message;
+}
+
 PeerResult PeerConnection::call(const std::string& method, const json& body, base::TimePoint deadline)
 {
     auto self = shared_from_this();
--- a/src/net/PeerConnection.h
+++ b/src/net/PeerConnection.h
@@ -51,6 +51,19 @@
     bool handshakeAsCaller(const base::Address& address);
     bool handshakeAsListener();
 
+    // Reads the next message; nothing if the connection has ended or the frame is not valid. Suspends.
+    std::optional<json> readMessage();
+
+    // Writes a message while no writer runs. False if the connection has ended. Suspends.
+    bool writeMessage(const json& message) { return writeBytes(m_codec->encode(message)); }
+
+    // Takes a message that was read before readLoop() runs.
+    void dispatch(json message, const PeerHandler& handler);
+
+    // The socket, for bytes without frames. No other method may be called afterwards.
+    Tcp::socket takeSocket() { return std::move(m_socket); }
+    const std::string& peerName() const { return m_peerName; }
+
     // Reads frames until the connection ends, then closes it. `handler` answers the peer's calls, each in its own
     // fiber.
     void readLoop(const PeerHandler& handler);
@@ -70,7 +83,6 @@
     // Starts the fiber that sends queued frames. Call once, after the handshake.
     void startWriter();
 
-private:
     // Closes the connection unless destroyed within `limit`.
     struct CloseTimer {
         CloseTimer(PeerConnection& connection, base::Duration limit)
@@ -83,6 +95,7 @@
         TimerId id;
     };
 
+private:
     static json binary(const std::string& bytes) { return json::binary({ bytes.begin(), bytes.end() }); }
 
     // A string or binary field; empty if it is missing or has another type.
@@ -105,7 +118,6 @@
 
     // Writes the frames that other fibers have queued, all of them in one write.
     void writeLoop();
-    void dispatch(json message, const PeerHandler& handler);
     void answerCall(const PeerHandler& handler, const json& message);
 
     Loop& m_loop;
--- a/src/net/PeerNetwork.cpp
+++ b/src/net/PeerNetwork.cpp
@@ -1,11 +1,16 @@
 // Opens, accepts and maintains the connections between daemons.
+#include <deque>
+#include <set>
+
 #include "net/PeerConnection.h"
+#include "net/TunnelPump.h"
 
 namespace rattanshunt::net {
 
 namespace {
 
     constexpr base::Millis acceptRetryDelay { 50 };
+    constexpr size_t maxEndedTunnels = 512; // whose end is remembered
 
     // Calls that need a connection while it is being opened wait for the same attempt.
     struct OutgoingConnection {
@@ -31,6 +36,9 @@
     PeerHandler handler;
     std::map<std::string, OutgoingConnection> outgoing; // by address
     std::vector<std::weak_ptr<PeerConnection>> accepted;
+    TunnelHandler tunnelHandler;
+    std::set<std::shared_ptr<TunnelPump>> tunnels;
+    std::deque<std::pair<std::string, TunnelEnd>> endedTunnels; // by the caller's id
     bool isClosed = false;
 
     void acceptLoop()
@@ -50,12 +58,68 @@
             loop.spawn([self = shared_from_this(), connection] {
                 if (!connection->handshakeAsListener())
                     return;
+                auto first = connection->readMessage();
+                if (!first)
+                    return connection->close();
+                if (first->size() == 2 && first->at(0) == "t")
+                    return self->serveTunnel(*connection, first->at(1));
                 connection->startWriter();
+                connection->dispatch(std::move(*first), self->handler);
                 connection->readLoop(self->handler);
             });
         }
     }
 
+    // ---- Tunnels ----
+
+    void serveTunnel(PeerConnection& connection, const json& request)
+    {
+        TunnelPlan plan;
+        std::string id;
+        try {
+            id = request.at("id").get<std::string>();
+            if (tunnelHandler)
+                plan = tunnelHandler(connection.peerName(), request);
+        } catch (const json::exception&) {
+            base::counterAdd("peer_calls_refused_total");
+        }
+        Tcp::socket server(loop.io());
+        if (plan.server && !connectTo(server, plan)) {
+            plan.server.reset();
+            plan.answer = json { { "why", plan.onFailed ? plan.onFailed() : "connect_failed" } };
+        }
+        if (!connection.writeMessage(json::array({ "t", plan.server.has_value(), plan.answer })) || !plan.server
+            || isClosed)
+            return connection.close();
+        auto pump = std::make_shared<TunnelPump>(loop, connection.takeSocket(), std::move(server));
+        tunnels.insert(pump);
+        pump->run(plan.endsBy, [this, &id](TunnelEnd end) {
+            endedTunnels.emplace_back(id, end);
+            if (endedTunnels.size() > maxEndedTunnels)
+                endedTunnels.pop_front();
+        });
+        tunnels.erase(pump);
+    }
+
+    bool connectTo(Tcp::socket& server, const TunnelPlan& plan)
+    {
+        base::Address dialled = plan.connect.dialAddress ? plan.connect.dialAddress(*plan.server) : *plan.server;
+        ErrorCode code;
+        Tcp::endpoint endpoint(asio::ip::make_address(dialled.ip, code), dialled.port);
+        server.open(endpoint.protocol(), code);
+        if (plan.connect.receiveBufferBytes)
+            server.set_option(
+                asio::socket_base::receive_buffer_size(static_cast<int>(plan.connect.receiveBufferBytes)), code);
+        IoResult result = awaitIoUntil(
+            loop, plan.connectBy, [&](auto done) { server.async_connect(endpoint, std::move(done)); },
+            [&server] {
+                ErrorCode ignored;
+                server.close(ignored);
+            });
+        server.set_option(Tcp::no_delay(true), code);
+        return !result.error && server.is_open();
+    }
+
     void maintainLoop()
     {
         while (!isClosed) {
@@ -139,6 +203,49 @@
     return connection->call(method, body, deadline);
 }
 
+TunnelResult PeerNetwork::openTunnel(const base::Address& address, const json& request, const base::Address& server,
+    const ConnectOptions& options, base::TimePoint deadline)
+{
+    TunnelResult result;
+    if (m_impl->isClosed)
+        return result;
+    auto connection = std::make_shared<PeerConnection>(
+        m_impl->loop, m_impl->options, m_impl->totals, Tcp::socket(m_impl->loop.io()));
+    PeerConnection::CloseTimer timer(*connection, deadline - base::Clock::now());
+    if (!connection->handshakeAsCaller(address) || !connection->writeMessage(json::array({ "t", request })))
+        return result;
+    auto reply = connection->readMessage();
+    if (!reply || reply->size() != 3 || reply->at(0) != "t" || !connection->isOpen())
+        return result;
+    if (reply->at(1) != true) {
+        result.isRefused = true;
+        result.answer = reply->at(2);
+        connection->close();
+        return result;
+    }
+    result.connection = httpConnectionAdopt(m_impl->loop, server, connection->takeSocket(), options);
+    return result;
+}
+
+void PeerNetwork::setTunnelHandler(TunnelHandler handler)
+{
+    m_impl->tunnelHandler = std::move(handler);
+}
+
+TunnelEnd PeerNetwork::tunnelEnd(const std::string& id) const
+{
+    for (const auto& [endedId, end] : m_impl->endedTunnels) {
+        if (endedId == id)
+            return end;
+    }
+    return TunnelEnd::Unknown;
+}
+
+size_t PeerNetwork::tunnelCount() const
+{
+    return m_impl->tunnels.size();
+}
+
 void PeerNetwork::close()
 {
     m_impl->isClosed = true;
@@ -148,6 +255,8 @@
         if (entry.connection)
             entry.connection->close();
     }
+    for (const auto& tunnel : m_impl->tunnels)
+        tunnel->close();
     for (auto& weakConnection : m_impl->accepted) {
         if (auto connection = weakConnection.lock())
             connection->close();
--- a/src/net/PeerNetwork.h
+++ b/src/net/PeerNetwork.h
@@ -17,6 +17,7 @@
 #include "base/Text.h"
 #include "base/Time.h"
 #include "net/Loop.h"
+#include "net/PeerTunnel.h"
 
 namespace rattanshunt::net {
 
@@ -59,6 +60,17 @@
     PeerResult call(
         const base::Address&, const std::string& method, const nlohmann::json& body, base::TimePoint deadline);
 
+    // Asks the peer at `address` to carry a connection to `server`, which it decides on by `request`. The connection
+    // is open if it is accepted by `deadline`. Suspends.
+    TunnelResult openTunnel(const base::Address&, const nlohmann::json& request, const base::Address& server,
+        const ConnectOptions&, base::TimePoint deadline);
+
+    // Decides about the tunnels that peers ask for, named by the string field "id" of the request. Without a handler
+    // all are refused.
+    void setTunnelHandler(TunnelHandler);
+    TunnelEnd tunnelEnd(const std::string& id) const; // of a tunnel that this side carried
+    size_t tunnelCount() const;                       // that this side carries now
+
     // Stops listening and closes all connections; pending calls fail. Later calls return NotSent.
     void close();
 
--- a/src/reach/ReplicaDialer.cpp
+++ b/src/reach/ReplicaDialer.cpp
@@ -14,6 +14,8 @@
     , m_options(std::move(options))
     , m_hubSync(hubSync)
 {
+    m_hubSync.setTunnelHandler(
+        [this](const std::string& from, const nlohmann::json& request) { return planTunnel(from, request); });
 }
 
 void ReplicaDialer::setSpareSink(std::function<void(std::unique_ptr<net::HttpConnection>)> sink)
@@ -45,7 +47,9 @@
               if (reachIsInDoubt(m_reach, m_options.reach, BootClock::now()) && !m_isChecking)
                   m_loop.spawn([this, address = connection.address()] { runCheck(address); });
           });
+    m_connecting.insert(&connection);
     net::HttpCallError error = connection.connect(deadline);
+    m_connecting.erase(&connection);
     m_loop.timers().cancel(timer);
     if (error == net::HttpCallError::None)
         recordConnected();
@@ -135,10 +139,13 @@
         bool wasLost = m_reach.isLost;
         if (!check->hasConnected)
             reachCheckFailed(m_reach, begunAt, BootClock::now());
-        if (m_reach.isLost && !wasLost) {
+        if (m_reach.isLost && !wasLost)
             base::logEvent(LogLevel::Warning, "reach.lost",
                 { { "dialled", targets.size() }, { "except", base::formatAddress(except) },
                     { "silent_ms", base::millisOf(BootClock::now() - m_reach.heardAt) } });
+        if (m_reach.isLost) {
+            for (net::HttpConnection* connection : m_connecting)
+                connection->cancel();
             notify();
         }
     }
