Hand over the hub when it reaches no replica

What callers saw: with the hub among the machines that hang, also the others served only 28 of 58 first tries (replica_links/*), 40 of 108 in the users' record.

Cause: a hub takes its own lost links for the state of all replicas: it tells the members that each replica is silent, and they leave these out; its reports age and its orders reach nobody, but nothing but its lease or its store ends its term.

Change: what a hub sees while it reaches no replica is not passed on. When two checks in a row have failed and a member reaches replicas, as members tell with their syncs, the hub revokes its lease, and another one is elected at once; orders wait as at any hand-over, since an order carried by another daemon would come from a second machine. A daemon without replicas campaigns only after 2.5 s without a hub, so that a fleet that has lost all of them keeps one.

--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -36,6 +36,9 @@
     if (m_term.isHeld || m_isStopping || m_hasLeftElection || !m_storeIsReachable
         || now - m_lastReadAt > m_options.directReadInterval)
         return;
+    // It could give no order and read no report.
+    if (m_hasLostReplicas && now - m_hubMissingSince < lostCampaignDelay)
+        return;
     // A record of this process outside a term of it is one that the store's copy brought back.
     bool isFromCopy = m_storeEra && coordination::revisionEra(m_term.fencingToken) != *m_storeEra;
     bool isOwnPreviousRecord = m_hubRecord && m_hubRecord->name == m_options.name
@@ -160,10 +163,24 @@
         return;
     m_term.isHeld = false;
     m_hubRecord.reset();
+    m_hubMissingSince = BootClock::now();
     base::logEvent(LogLevel::Warning, "hub.resigned", { { "why", why }, { "fencing_token", m_term.fencingToken } });
     m_wake.set();
 }
 
+void HubSync::setReplicasLost(bool isLost)
+{
+    m_hasLostReplicas = isLost;
+    BootTime now = BootClock::now();
+    bool isReached = std::any_of(m_members.begin(), m_members.end(),
+        [&](const auto& item) { return !item.second.hasLostReplicas && now - item.second.lastSeenAt < memberTimeout; });
+    if (!isLost || !m_term.isHeld || !isReached)
+        return;
+    int64_t lease = m_term.lease;
+    resign("no replica is reached");
+    m_loop.spawn([this, lease] { m_kv.leaseRevoke(lease); });
+}
+
 void HubSync::renewLoop()
 {
     int64_t lease = m_term.lease;
--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -221,7 +221,7 @@
 }
 
 // A crashed replica does not answer, but its entry stays in the store for several heartbeats. Members are told that it
-// is unreachable, and its models are loaded elsewhere.
+// is unreachable, and its models are loaded elsewhere. What a hub without links to any replica sees is not passed on.
 void Placer::updateReachability(const std::string& id, ReplicaState& state, bool hasAnswered)
 {
     state.missedReports = hasAnswered ? 0 : state.missedReports + 1;
@@ -230,7 +230,8 @@
     auto replica = m_hubSync.directory().replicas.find(id);
     if (replica == m_hubSync.directory().replicas.end())
         return;
-    bool isUnreachable = state.missedReports >= 2 && BootClock::now() - state.lastReportAt > m_options.silenceTimeout;
+    bool isUnreachable = state.missedReports >= 2 && BootClock::now() - state.lastReportAt > m_options.silenceTimeout
+        && !m_dialer.hasLostReplicas();
     if (isUnreachable == replica->second.isUnreachableFromHub)
         return;
     base::logEvent(isUnreachable ? LogLevel::Warning : LogLevel::Info,
--- a/src/reach/ReplicaDialer.cpp
+++ b/src/reach/ReplicaDialer.cpp
@@ -70,6 +70,7 @@
     reachConnected(m_reach, now);
     if (!wasLost)
         return;
+    m_hubSync.setReplicasLost(false);
     base::logEvent(LogLevel::Info, "reach.back", { { "lost_ms", base::millisOf(now - m_reach.lostAt) } });
     notify();
 }
@@ -144,6 +145,8 @@
                 { { "dialled", targets.size() }, { "except", base::formatAddress(except) },
                     { "silent_ms", base::millisOf(BootClock::now() - m_reach.heardAt) } });
         if (m_reach.isLost) {
+            if (m_reach.failedChecks >= m_options.reach.checksToHandOver)
+                m_hubSync.setReplicasLost(true);
             for (net::HttpConnection* connection : m_connecting)
                 connection->cancel();
             notify();
--- a/tests/ReplicaLinkTests.cpp
+++ b/tests/ReplicaLinkTests.cpp
@@ -73,3 +73,41 @@
 {
     expectCallersServed({ LinkCut::Hang, 6, 4, true });
 }
+
+Test(replica_links, a_hub_that_reaches_no_replica_hands_over, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        ReplicaLinkFixture fixture(loop, 4);
+        for (LinkCut how : { LinkCut::Reset, LinkCut::Hang }) {
+            LabGateway* hub = fixture.hub();
+            cr_assert(hub);
+            fixture.cut(how, 1, true);
+            net::sleepFor(ReplicaLinkFixture::contactTime);
+            cr_assert(fixture.hub());
+            cr_expect_neq(fixture.hub(), hub);
+            for (const auto& [id, replica] : fixture.hub()->hubSync.directory().replicas)
+                cr_expect(!replica.isUnreachableFromHub, "%s counts as unreachable", id.c_str());
+            fixture.heal();
+            fixture.callAll(base::Millis(1000));
+        }
+    });
+}
+
+Test(replica_links, a_fleet_that_reaches_no_replica_keeps_a_hub, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        ReplicaLinkFixture fixture(loop, 3);
+        fixture.cut(LinkCut::Reset, 3, true);
+        fixture.callAll(ReplicaLinkFixture::contactTime * 2);
+        int hubChecks = 0;
+        for (int i = 0; i < 20; ++i) {
+            hubChecks += fixture.hub() != nullptr;
+            net::sleepFor(base::Millis(100));
+        }
+        cr_expect_geq(hubChecks, 18);
+        fixture.heal();
+        fixture.callAll(base::Millis(1500));
+        fixture.callAll(base::Millis(1000));
+        cr_expect_geq(fixture.otherTries.servedShare(), 0.99);
+    });
+}
