--- a/tests/ReplicaLinkTests.cpp
+++ b/tests/ReplicaLinkTests.cpp
@@ -111,3 +111,23 @@
         cr_expect_geq(fixture.otherTries.servedShare(), 0.99);
     });
 }
+
+Test(replica_links, a_hub_that_hands_over_still_knows_daemons_that_carry_its_connections, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        ReplicaLinkFixture fixture(loop, 2);
+        LabGateway* hub = fixture.hub();
+        fixture.cut(LinkCut::Reset, 1, true);
+        while (!hub->dialer.hasLostReplicas())
+            hub->dialer.confirmReach({});
+        int served = 0;
+        constexpr int callCount = 60;
+        for (int i = 0; i < callCount; ++i) {
+            served
+                += fixture.fleet.call(*hub, labRequest("/once/", fmt::format("{:016x}", 100001 + 4 * i))).status == 200;
+            net::sleepFor(base::Millis(30));
+        }
+        cr_expect_neq(fixture.hub(), hub);
+        cr_expect_eq(served, callCount, "%d of %d served", served, callCount);
+    });
+}
