A carried connection whose server was reset has not ended in order

Cause: the write notices the reset and takes the socket's error with it, so the next read ends as if in order. The daemon that carries the connection then told the one that serves the caller that the replica had ended the answer.

On direct connections the fault does not exist, as a failed write ends the attempt: early_answer/* passes for bodies of 100 bytes to 900 KB, direct and carried, 45 requests each.

--- a/src/net/TunnelPump.cpp
+++ b/src/net/TunnelPump.cpp
@@ -79,8 +79,10 @@
             asio::async_write(m_server, asio::buffer(buffer.data(), read.bytes), std::move(handler));
         });
         // What the server has sent before it stopped reading may still be on its way to the caller.
-        if (written.error)
+        if (written.error) {
+            m_hasServerFailed = true;
             return;
+        }
     }
 }
 
@@ -91,7 +93,8 @@
     while (true) {
         IoResult read
             = awaitIo([&](auto handler) { m_server.async_read_some(asio::buffer(buffer), std::move(handler)); });
-        if (read.error == asio::error::eof) {
+        // A write that has failed took the socket's error with it: reads then end as if in order.
+        if (read.error == asio::error::eof && !m_hasServerFailed) {
             end(TunnelEnd::InOrder);
             m_caller.shutdown(Socket::shutdown_send, ignored);
             return;
--- a/src/net/TunnelPump.h
+++ b/src/net/TunnelPump.h
@@ -31,6 +31,7 @@
     Socket m_server;
     std::function<void(TunnelEnd)> m_onEnd;
     TunnelEnd m_end = TunnelEnd::Unknown;
+    bool m_hasServerFailed = false; // a write to it
 };
 
 // The connection of an HTTP client over an open socket. `server`: the address that counts as its own.
