Take no status outside 100 to 599 for an answer

Measured before: 000, 001, 042, 099 were read as answers; with Not-Executed the caller got 503, a promise that bytes outside the protocol can't give, and the request went to another replica. 600 and 999 reached callers. Without these headers 000 gave 502. 99, 1000, 0200, -20, letters and an empty status were malformed already.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -25,6 +25,10 @@
     // server that sends any of these without end is cut off here.
     constexpr size_t maxUnparsedBytes = 64 * 1024;
 
+    // Of HTTP; others are no answer.
+    constexpr int minStatus = 100;
+    constexpr int maxStatus = 599;
+
     constexpr size_t maxIdleBufferBytes = 4096; // that an idle connection keeps
 
     // After the deadline, for reading the rest of an answer that has arrived while the thread was busy. An answer whose
@@ -156,6 +160,8 @@
             if (result.error)
                 return failRead(result.error);
             response.status = static_cast<int>(m_parser->get().result_int());
+            if (response.status < minStatus || response.status > maxStatus)
+                return fail(HttpCallError::Malformed);
             response.headers.clear();
             for (auto& field : m_parser->get())
                 response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
