--- a/src/reach/ReplicaDialer.cpp
+++ b/src/reach/ReplicaDialer.cpp
@@ -145,7 +145,7 @@
                 { { "dialled", targets.size() }, { "except", base::formatAddress(except) },
                     { "silent_ms", base::millisOf(BootClock::now() - m_reach.heardAt) } });
         if (m_reach.isLost) {
-            if (m_reach.failedChecks >= m_options.reach.checksToHandOver)
+            if (reachLossIsConfirmed(m_reach, m_options.reach))
                 m_hubSync.setReplicasLost(true);
             for (net::HttpConnection* connection : m_connecting)
                 connection->cancel();
--- a/src/reach/ReplicaDialer.h
+++ b/src/reach/ReplicaDialer.h
@@ -81,6 +81,7 @@
     // -- queries --
     std::unique_ptr<net::HttpConnection> create(const base::Address&) const;
     bool hasLostReplicas() const { return m_reach.isLost; }
+    bool isLossConfirmed() const { return reachLossIsConfirmed(m_reach, m_options.reach); }
     size_t carriedCount() const; // connections that this daemon carries for others now
 
 private:
--- a/src/reach/ReplicaReach.h
+++ b/src/reach/ReplicaReach.h
@@ -20,7 +20,7 @@
     base::Millis checkInterval { 500 };    // between two checks; what a connection has proved holds for as long
     base::Millis maxSilence { 1000 };      // without a byte from any replica while requests wait, until a check
     size_t dialsPerCheck = 2;              // connections to different replicas
-    int checksToHandOver = 2;              // that failed in a row, until a hub hands over
+    int checksToConfirm = 2;               // that failed in a row, until a hub hands over
     base::Millis suspectDialAfter { 250 }; // that a connection is being opened, until a check begins beside it
 };
 
@@ -53,6 +53,12 @@
     ++reach.failedChecks;
 }
 
+// Whether replicas that were silent for a moment can't have been the cause.
+inline bool reachLossIsConfirmed(const ReplicaReach& reach, const ReachOptions& options)
+{
+    return reach.isLost && reach.failedChecks >= options.checksToConfirm;
+}
+
 // Whether a connection that failed calls for a check.
 inline bool reachIsInDoubt(const ReplicaReach& reach, const ReachOptions& options, base::BootTime now)
 {
