Bound the time for finding a daemon that carries a connection

Up to six daemons were asked for 0.8 s each, so several dead ones in the list could hold a request for 4.8 s; all together get 1.5 s now. A refusal without a readable reason no longer throws.

--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -158,8 +158,7 @@
     // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
-    // Whether this daemon has lost all replicas. A hub then hands over, if a member reaches them, and such a daemon
-    // campaigns only if no other one does. Does not suspend.
+    // Whether this daemon reaches no replica; a hub then hands over, if a member reaches some. Does not suspend.
     void setReplicasLost(bool isLost);
 
     // Gives up the hub role without revoking the lease, as when another hub's orders were seen. May campaign again.
@@ -345,7 +344,8 @@
     std::function<bool()> m_isAwaitingModel;
     std::function<void()> m_onDemandReported;
     net::Event m_wake;
-    bool m_isStopping = false, m_hasLeftElection = false;
+    bool m_isStopping = false;
+    bool m_hasLeftElection = false;
     bool m_hasLostReplicas = false;
     bool m_isRunning = false;
     base::BootTime m_lastSyncAt {};
--- a/src/hub/HubSyncInternal.h
+++ b/src/hub/HubSyncInternal.h
@@ -18,9 +18,8 @@
 inline constexpr const char* secretKey = "rs/secret";
 inline constexpr size_t secretBytes = 16;
 
-inline constexpr base::Millis lostCampaignDelay {
-    2500
-}; // without a hub, until a daemon that reaches no replica campaigns
+// Without a hub, until a daemon that reaches no replica campaigns.
+inline constexpr base::Millis lostCampaignDelay { 2500 };
 inline constexpr base::Millis startupReadInterval { 200 };   // between two store reads while there is no hub yet
 inline constexpr base::Millis memberTimeout { 3000 };        // without a sync, after which the hub drops a member
 inline constexpr size_t largeConfigurationBytes = 48 * 1024; // above, a known configuration is compared, not read
--- a/src/net/PeerTunnel.h
+++ b/src/net/PeerTunnel.h
@@ -8,7 +8,6 @@
 // May only be used on the loop's thread.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
--- a/src/reach/RelayChoice.h
+++ b/src/reach/RelayChoice.h
@@ -27,6 +27,7 @@
 };
 
 struct RelayOptions {
+    base::Millis maxAskTime { 1500 };   // for all of them
     int maxAsked = 6;                   // daemons asked for one connection
     base::Millis askTimeout { 800 };    // for one of them, which may have to check its own links
     base::Millis refusedPause { 1000 }; // until one that refused is asked again
--- a/src/reach/ReplicaRelay.cpp
+++ b/src/reach/ReplicaRelay.cpp
@@ -6,6 +6,18 @@
 
 namespace rattanshunt::reach {
 
+namespace {
+
+    constexpr base::Millis maxTimeLeft { 3600 * 1000 }; // that a daemon may state for a request
+
+    std::string refusalReason(const net::TunnelResult& opened)
+    {
+        auto why = opened.answer.is_object() ? opened.answer.find("why") : opened.answer.end();
+        return why != opened.answer.end() && why->is_string() ? why->get<std::string>() : "";
+    }
+
+} // namespace
+
 using base::BootClock;
 using base::BootTime;
 using base::LogLevel;
@@ -19,10 +31,11 @@
     std::map<std::string, base::Address> daemons = m_hubSync.peerAddresses();
     if (!m_hubSync.peers())
         return result;
+    BootTime giveUpAt = std::min(deadline, BootClock::now() + m_options.relay.maxAskTime);
     for (int asked = 0; asked < m_options.relay.maxAsked; ++asked) {
         BootTime now = BootClock::now();
         auto name = relayChoose(daemons, m_relayPauses, now, base::stableHash(base::randomBytes(sizeof(uint64_t))));
-        if (!name || now >= deadline)
+        if (!name || now >= giveUpAt)
             break;
         Relay relay { *name, daemons.at(*name), base::randomId() };
         Json request { { "id", relay.tunnelId }, { "replica", entry.id }, { "start", entry.startedAtMillis },
@@ -37,7 +50,7 @@
             result.relay = std::move(relay);
             return result;
         }
-        std::string why = opened.isRefused && opened.answer.is_object() ? opened.answer.value("why", "") : "";
+        std::string why = refusalReason(opened);
         result.answer = relayAnswerOf(why);
         base::logEvent(LogLevel::Info, "relay.refused",
             { { "relay", relay.name }, { "replica", entry.id }, { "why", opened.isRefused ? why : "no_answer" } });
@@ -79,7 +92,7 @@
     net::TunnelPlan plan;
     BootTime now = BootClock::now();
     auto id = request.at("replica").get<std::string>();
-    auto timeLeft = base::Millis(request.at("left_ms").get<int64_t>());
+    base::Millis timeLeft = std::min(base::Millis(request.at("left_ms").get<int64_t>()), maxTimeLeft);
     auto found = m_hubSync.directory().replicas.find(id);
     const char* refusal = nullptr;
     if (m_isStopping || !m_mayCarry)
