--- a/tests/ReplicaLinkTests.cpp
+++ b/tests/ReplicaLinkTests.cpp
@@ -131,3 +131,23 @@
         cr_expect_eq(served, callCount, "%d of %d served", served, callCount);
     });
 }
+
+Test(replica_links, a_hub_keeps_its_term_while_all_replicas_are_down, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        ReplicaLinkFixture fixture(loop, 4);
+        for (int round = 0; round < 2; ++round) {
+            LabGateway* hub = fixture.hub();
+            int64_t token = hub->hubSync.fencingToken();
+            fixture.callAll(base::Millis(500));
+            for (ReplicaStandIn* replica : fixture.replicas)
+                replica->crash();
+            fixture.callAll(base::Millis(1500)); // until they are back
+            fixture.callAll(base::Millis(1500)); // until the models are loaded again
+            fixture.callAll(base::Millis(500));
+            cr_expect_geq(fixture.otherTries.servedShare(), 0.95, "%d of %d", fixture.otherTries.served,
+                fixture.otherTries.tries);
+            cr_expect(fixture.hub() == hub && hub->hubSync.fencingToken() == token, "round %d: another term", round);
+        }
+    });
+}
