Pass on no member without an address when a hub resigns

Suspected, not reproduced: a member whose address was not read, copied at the hub's resignation and called.

--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -165,8 +165,10 @@
     m_hubRecord.reset();
     m_hubMissingSince = BootClock::now();
     // Until the next hub sends addresses.
-    for (const auto& [name, member] : m_members)
-        m_memberAddresses[name] = member.address;
+    for (const auto& [name, member] : m_members) {
+        if (!member.address.ip.empty())
+            m_memberAddresses[name] = member.address;
+    }
     base::logEvent(LogLevel::Warning, "hub.resigned", { { "why", why }, { "fencing_token", m_term.fencingToken } });
     m_wake.set();
 }
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -210,6 +210,7 @@
         for (const auto& [name, member] : m_members)
             addresses[name] = member.address;
     }
+    std::erase_if(addresses, [](const auto& item) { return item.second.ip.empty(); });
     if (m_hubRecord && !m_hubRecord->name.empty())
         addresses[m_hubRecord->name] = m_hubRecord->address;
     addresses.erase(m_options.name);
