A call to a daemon whose address can't be read fails instead of throwing

Cause, traced: a daemon that reaches neither the store nor the hub asks any member for newer data and states no address. If that member has become the hub, its list gets an entry without an address, which copied when it resigned; calling it threw in make_address(). Addresses from the hub's message are parsed, so only this way led there.

--- a/src/net/PeerConnection.cpp
+++ b/src/net/PeerConnection.cpp
@@ -6,8 +6,9 @@
 bool PeerConnection::handshakeAsCaller(const base::Address& address)
 {
     CloseTimer timer(*this, m_options.connectTimeout);
-    Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-    if (awaitIo([&](auto handler) { m_socket.async_connect(endpoint, std::move(handler)); }).error)
+    ErrorCode invalid;
+    Tcp::endpoint endpoint(asio::ip::make_address(address.ip, invalid), address.port);
+    if (invalid || awaitIo([&](auto handler) { m_socket.async_connect(endpoint, std::move(handler)); }).error)
         return false;
     setNoDelay();
     PeerHandshake handshake;
--- a/tests/ReplicaLinkTests.cpp
+++ b/tests/ReplicaLinkTests.cpp
@@ -151,3 +151,27 @@
         }
     });
 }
+
+// A daemon that asks any other one for newer data, as it reaches neither the store nor the hub, states no address.
+Test(replica_links, a_hub_that_hands_over_calls_no_member_without_an_address, .timeout = 30)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        ReplicaLinkFixture fixture(loop, 2);
+        hub::HubSync& hub = fixture.hub()->hubSync;
+        net::PeerOptions options;
+        options.name = "x";
+        options.secret = "secret-of-the-test-fleet";
+        net::PeerNetwork asking(loop, options);
+        base::Address address
+            = fixture.gateways[fixture.hub() == fixture.gateways[0] ? 1 : 0]->hubSync.peerAddresses().at(
+                hub.options().name);
+        net::PeerResult result
+            = asking.call(address, "sync", { { "configuration", 0 } }, base::Clock::now() + base::Seconds(2));
+        cr_assert_eq(result.error, net::PeerError::None);
+        hub.resign("test");
+        cr_expect_eq(hub.peerAddresses().count("x"), 0);
+        cr_expect_eq(
+            hub.peers()->call({}, "sync", {}, base::Clock::now() + base::Seconds(1)).error, net::PeerError::NotSent);
+        asking.close();
+    });
+}
