Lose the replicas only if another daemon reaches one of them

Before, a daemon that could open no connection to three replicas took it for its own lost links. Where all replicas are down, that is wrong for all daemons: requests got no_link_to_replicas until a check of each 0.5 s found one, ends counted as no evidence, and the hub might hand over, as a member that had not noticed counted as one that reaches them.

Change: after a check in which no connection opens, up to three other daemons are asked to connect to one of these replicas (450 ms); only if one can are the links lost. A daemon whose last check failed carries nothing for others. A fleet with one replica is served too, which could not be told apart before.

Once, replica_links/* found requests that had run twice, at one gateway. Traced to the lab: the port that refuses connections was free, so that a test beside it could get it and, with the same request ids, serve them (binding it succeeded, now it is in use); ReplicaLinks keeps it bound.

--- a/lab/ReplicaLinks.h
+++ b/lab/ReplicaLinks.h
@@ -38,7 +38,7 @@
     // A listener whose queue of new connections is full: the system drops further ones without an answer.
     boost::asio::ip::tcp::acceptor m_fullListener;
     std::vector<boost::asio::ip::tcp::socket> m_queued;
-    base::Address m_refusingAddress; // with no listener
+    boost::asio::ip::tcp::acceptor m_closedPort; // bound and not listening, so that no other process can get the port
 };
 
 } // namespace rattanshunt::lab
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -47,7 +47,7 @@
 {
     m_options.retryBudget.processStartedAt = BootClock::now();
     m_dialer.subscribe([this] {
-        if (m_dialer.isLossConfirmed())
+        if (m_dialer.hasLostReplicas())
             giveUpSilentAttempts();
     });
     m_dialer.setSpareSink([this](auto connection) { m_connectionPool.add(std::move(connection)); });
--- a/src/hub/HubSync.h
+++ b/src/hub/HubSync.h
@@ -158,7 +158,7 @@
     // The fleet's demand, this daemon's included. Hub only.
     DemandTable collectDemand(base::BootTime now);
 
-    // Whether this daemon reaches no replica; a hub then hands over, if a member reaches some. Does not suspend.
+    // Whether other daemons reach replicas and this one does not; a hub then hands over. Does not suspend.
     void setReplicasLost(bool isLost);
 
     // Gives up the hub role without revoking the lease, as when another hub's orders were seen. May campaign again.
--- a/src/hub/HubSyncData.h
+++ b/src/hub/HubSyncData.h
@@ -93,7 +93,6 @@
     std::string dataCenter; // empty: not stated
     base::BootTime lastSeenAt {};
     DemandTable demand;
-    bool hasLostReplicas = false; // it reaches none
 };
 
 } // namespace rattanshunt::hub
--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -176,10 +176,7 @@
 void HubSync::setReplicasLost(bool isLost)
 {
     m_hasLostReplicas = isLost;
-    BootTime now = BootClock::now();
-    bool isReached = std::any_of(m_members.begin(), m_members.end(),
-        [&](const auto& item) { return !item.second.hasLostReplicas && now - item.second.lastSeenAt < memberTimeout; });
-    if (!isLost || !m_term.isHeld || !isReached)
+    if (!isLost || !m_term.isHeld)
         return;
     int64_t lease = m_term.lease;
     resign("no replica is reached");
--- a/src/hub/HubSyncLeader.cpp
+++ b/src/hub/HubSyncLeader.cpp
@@ -110,7 +110,6 @@
         if (address)
             member.address = *address;
         member.dataCenter = body.value("data_center", "");
-        member.hasLostReplicas = body.value("lost_replicas", false);
         applyMemberDemand(member, body, now);
         applyMemberParts(body, now);
         applyMemberLimits(from, body, now);
--- a/src/hub/HubSyncMember.cpp
+++ b/src/hub/HubSyncMember.cpp
@@ -23,8 +23,6 @@
         { "stamp", m_hubChangeSequence }, { "cold_version", m_cold.hubVersion },
         { "configuration", m_configurationRevision }, { "configuration_version", configurationStamp().version },
         { "members", m_memberAddresses.empty() ? 0 : m_memberCount } };
-    if (m_hasLostReplicas)
-        body["lost_replicas"] = true;
     if (!m_hubRecord || m_hubRecord->incarnation != m_hubIncarnation)
         body["digest"] = directory::directoryDigest(m_directory);
     if (!m_demandSource)
--- a/src/reach/ReplicaDialer.cpp
+++ b/src/reach/ReplicaDialer.cpp
@@ -9,6 +9,11 @@
 using base::BootTime;
 using base::LogLevel;
 
+uint64_t randomNumber()
+{
+    return base::stableHash(base::randomBytes(sizeof(uint64_t)));
+}
+
 ReplicaDialer::ReplicaDialer(net::Loop& loop, DialerOptions options, hub::HubSync& hubSync)
     : m_loop(loop)
     , m_options(std::move(options))
@@ -88,34 +93,61 @@
         m_loop.spawn([this] { runCheck({}); });
 }
 
-// Some replicas that may be dialled, different ones each time.
-std::vector<base::Address> ReplicaDialer::checkTargets(const base::Address& except) const
+// Some replicas that may be dialled, different ones each time; `except` only if there is no other.
+std::vector<gateway::ReplicaEntry> ReplicaDialer::checkTargets(const base::Address& except) const
 {
-    std::vector<base::Address> addresses;
+    std::vector<const gateway::ReplicaEntry*> entries;
+    const gateway::ReplicaEntry* last = nullptr;
     BootTime now = BootClock::now();
     for (const auto& [id, replica] : m_hubSync.directory().replicas) {
         directory::ReplicaObstacle obstacle = directory::replicaObstacle(m_hubSync.replicaLife(replica, {}), now);
-        bool mayDial = obstacle != directory::ReplicaObstacle::Leaving && obstacle != directory::ReplicaObstacle::Quiet;
-        if (mayDial && base::formatAddress(replica.entry.address) != base::formatAddress(except))
-            addresses.push_back(replica.entry.address);
+        if (obstacle == directory::ReplicaObstacle::Leaving || obstacle == directory::ReplicaObstacle::Quiet)
+            continue;
+        if (base::formatAddress(replica.entry.address) == base::formatAddress(except))
+            last = &replica.entry;
+        else
+            entries.push_back(&replica.entry);
+    }
+    if (entries.empty() && last)
+        entries.push_back(last);
+    std::vector<gateway::ReplicaEntry> targets;
+    while (!entries.empty() && targets.size() < m_options.reach.dialsPerCheck) {
+        auto chosen = entries.begin() + static_cast<std::ptrdiff_t>(randomNumber() % entries.size());
+        targets.push_back(**chosen);
+        entries.erase(chosen);
     }
-    for (size_t i = 0; i < addresses.size() && i < m_options.reach.dialsPerCheck; ++i)
-        std::swap(addresses[i], addresses[i + base::stableHash(base::randomBytes(8)) % (addresses.size() - i)]);
-    addresses.resize(std::min(addresses.size(), m_options.reach.dialsPerCheck));
-    return addresses;
+    return targets;
 }
 
-void ReplicaDialer::dialForCheck(const base::Address& address, const std::shared_ptr<Check>& check)
+// Runs `tries` in fibers of their own. Returns whether one has succeeded, once it has or when all have ended.
+bool ReplicaDialer::anySucceeds(std::vector<std::function<bool()>> tries)
+{
+    struct Outcome {
+        size_t pending;
+        bool hasSucceeded = false;
+        net::Event done {};
+    };
+    auto outcome = std::make_shared<Outcome>(Outcome { tries.size() });
+    for (auto& attempt : tries)
+        m_loop.spawn([outcome, attempt = std::move(attempt)] {
+            outcome->hasSucceeded = attempt() || outcome->hasSucceeded;
+            if (--outcome->pending == 0 || outcome->hasSucceeded)
+                outcome->done.set();
+        });
+    if (!tries.empty())
+        outcome->done.waitUntil();
+    return outcome->hasSucceeded;
+}
+
+bool ReplicaDialer::dialForCheck(const base::Address& address)
 {
     auto connection = create(address);
-    if (connection->connect(base::Clock::now() + m_options.reach.dialTimeout) == net::HttpCallError::None) {
-        check->hasConnected = true;
-        recordConnected();
-        if (m_spareSink)
-            m_spareSink(std::move(connection));
-    }
-    if (--check->pendingDials == 0 || check->hasConnected)
-        check->done.set();
+    if (connection->connect(base::Clock::now() + m_options.reach.dialTimeout) != net::HttpCallError::None)
+        return false;
+    recordConnected();
+    if (m_spareSink)
+        m_spareSink(std::move(connection));
+    return true;
 }
 
 // Returns when the check that is under way, or a new one, has ended.
@@ -129,37 +161,40 @@
     }
     m_isChecking = true;
     BootTime begunAt = BootClock::now();
-    std::vector<base::Address> targets = checkTargets(except);
-    auto check = std::make_shared<Check>();
-    check->pendingDials = targets.size();
-    for (const base::Address& address : targets)
-        m_loop.spawn([this, address, check] { dialForCheck(address, check); });
+    std::vector<gateway::ReplicaEntry> targets = checkTargets(except);
+    std::vector<std::function<bool()>> dials;
+    dials.reserve(targets.size());
+    for (const gateway::ReplicaEntry& target : targets)
+        dials.emplace_back([this, address = target.address] { return dialForCheck(address); });
     base::counterAdd("reach_checks_total");
-    if (!targets.empty()) {
-        check->done.waitUntil();
-        bool wasLost = m_reach.isLost;
-        if (!check->hasConnected)
-            reachCheckFailed(m_reach, begunAt, BootClock::now());
-        if (m_reach.isLost && !wasLost)
-            base::logEvent(LogLevel::Warning, "reach.lost",
-                { { "dialled", targets.size() }, { "except", base::formatAddress(except) },
-                    { "silent_ms", base::millisOf(BootClock::now() - m_reach.heardAt) } });
-        if (m_reach.isLost) {
-            if (reachLossIsConfirmed(m_reach, m_options.reach))
-                m_hubSync.setReplicasLost(true);
-            for (net::HttpConnection* connection : m_connecting)
-                connection->cancel();
-            notify();
-        }
-    }
+    bool isReached = anySucceeds(std::move(dials));
+    if (!isReached && !targets.empty())
+        m_reach.failedAt = BootClock::now();
+    if (!isReached && !m_reach.isLost && !targets.empty() && othersReach(targets))
+        recordLost(begunAt, except);
     m_reach.checkedAt = BootClock::now();
     m_isChecking = false;
     for (net::Event* waiter : std::exchange(m_checkWaiters, {}))
         waiter->set();
-    if (m_reach.isLost && !m_isRechecking)
+    if (!m_reach.isLost)
+        return;
+    for (net::HttpConnection* connection : m_connecting)
+        connection->cancel();
+    notify();
+    if (!m_isRechecking)
         m_loop.spawn([this] { recheckLoop(); });
 }
 
+void ReplicaDialer::recordLost(BootTime begunAt, const base::Address& except)
+{
+    reachLost(m_reach, begunAt, BootClock::now());
+    if (!m_reach.isLost)
+        return;
+    base::logEvent(LogLevel::Warning, "reach.lost",
+        { { "failed", base::formatAddress(except) }, { "check_ms", base::millisOf(m_reach.lostAt - begunAt) } });
+    m_hubSync.setReplicasLost(true);
+}
+
 void ReplicaDialer::recheckLoop()
 {
     m_isRechecking = true;
--- a/src/reach/ReplicaDialer.h
+++ b/src/reach/ReplicaDialer.h
@@ -6,7 +6,8 @@
 //   [2] ReplicaDialer
 //
 // A connection that fails, or silence while requests wait, begins a check: connections to other replicas, of which one
-// that opens ends the doubt. While none does, a check is made at a fixed interval. Decisions are in ReplicaReach.h and
+// that opens ends the doubt. If none does, other daemons are asked whether they reach one of these replicas; if one
+// does, this daemon has lost its links, and checks again at a fixed interval. Decisions are in ReplicaReach.h and
 // RelayChoice.h.
 //
 // All methods: own thread only. Those marked "suspends" need a fiber.
@@ -41,6 +42,8 @@
 
 // ---- [2] ReplicaDialer -------------------------------------------------------------------------
 
+uint64_t randomNumber();
+
 class ReplicaDialer {
 public:
     ReplicaDialer(net::Loop&, DialerOptions, hub::HubSync&);
@@ -49,8 +52,7 @@
     // Called with connections that a check has opened, which have carried no request. Must not suspend.
     void setSpareSink(std::function<void(std::unique_ptr<net::HttpConnection>)>);
 
-    // Called when a check has found that this daemon reaches no replica, and when it reaches one again. Must not
-    // suspend.
+    // Called after each check while this daemon has lost all replicas, and when it reaches one again. Must not suspend.
     void subscribe(std::function<void()> onChange);
 
     // Opens a connection that is not open yet, until `deadline`, or until this daemon has lost all replicas. Suspends.
@@ -81,21 +83,18 @@
     // -- queries --
     std::unique_ptr<net::HttpConnection> create(const base::Address&) const;
     bool hasLostReplicas() const { return m_reach.isLost; }
-    bool isLossConfirmed() const { return reachLossIsConfirmed(m_reach, m_options.reach); }
     size_t carriedCount() const; // connections that this daemon carries for others now
 
 private:
-    // A connection that one of the fibers of a check opens.
-    struct Check {
-        size_t pendingDials = 0;
-        bool hasConnected = false;
-        net::Event done;
-    };
-
-    std::vector<base::Address> checkTargets(const base::Address& except) const;
+    std::vector<gateway::ReplicaEntry> checkTargets(const base::Address& except) const;
+    bool anySucceeds(std::vector<std::function<bool()>> tries);
+    bool dialForCheck(const base::Address&);
+    bool othersReach(const std::vector<gateway::ReplicaEntry>&);
     void runCheck(const base::Address& except);
-    void dialForCheck(const base::Address&, const std::shared_ptr<Check>&);
+    void recordLost(base::BootTime checkBegunAt, const base::Address& except);
     void recheckLoop();
+    net::TunnelResult askToCarry(
+        const Relay&, const gateway::ReplicaEntry&, base::Duration timeLeft, bool isProbe, base::Duration timeout);
     net::TunnelPlan planTunnel(const std::string& from, const nlohmann::json& request);
     void recordConnected();
     void notify();
--- a/src/reach/ReplicaReach.h
+++ b/src/reach/ReplicaReach.h
@@ -2,8 +2,9 @@
 //
 // Load pattern: a daemon loses its links to all replicas for seconds, while callers, the store and other daemons still
 // reach it. Connections are refused, reset or hang, or the open ones live on while new ones are refused. One replica
-// that fails is that replica's fault, and several may fall silent for a second; only that none of several replicas
-// accepts a connection shows that it is the daemon's own link.
+// that fails is that replica's fault, several may fall silent for a second, and all may be down at once. Only that
+// several replicas accept no connection from this daemon, and one of them accepts one from another daemon at the same
+// time, shows that it is the daemon's own link.
 //
 // Bytes on an open connection prove nothing for new ones, so only new connections count. Pure functions over plain
 // structs; safe to call from any thread. Times are boot times.
@@ -20,7 +21,8 @@
     base::Millis checkInterval { 500 };    // between two checks; what a connection has proved holds for as long
     base::Millis maxSilence { 1000 };      // without a byte from any replica while requests wait, until a check
     size_t dialsPerCheck = 2;              // connections to different replicas
-    int checksToConfirm = 2;               // that failed in a row, until a hub hands over
+    size_t daemonsAsked = 3;               // whether they reach a replica that this daemon does not
+    base::Millis askTimeout { 450 };       // for each of them
     base::Millis suspectDialAfter { 250 }; // that a connection is being opened, until a check begins beside it
 };
 
@@ -29,8 +31,8 @@
     base::BootTime connectedAt {}; // the last connection to a replica was opened
     base::BootTime heardAt {};     // the last bytes from a replica arrived
     base::BootTime checkedAt {};   // the last check ended
+    base::BootTime failedAt {};    // a check ended in which no connection could be opened
     base::BootTime lostAt {};
-    int failedChecks = 0; // since connectedAt
 };
 
 inline void reachConnected(ReplicaReach& reach, base::BootTime now)
@@ -38,25 +40,23 @@
     reach.isLost = false;
     reach.connectedAt = now;
     reach.heardAt = std::max(reach.heardAt, now);
-    reach.failedChecks = 0;
 }
 
-// None of the connections of a check could be opened. `begunAt`: of the check; a connection that was opened since then
-// counts more.
-inline void reachCheckFailed(ReplicaReach& reach, base::BootTime begunAt, base::BootTime now)
+// None of the connections of a check could be opened, but another daemon could open one. `begunAt`: of the check; a
+// connection that was opened since then counts more.
+inline void reachLost(ReplicaReach& reach, base::BootTime begunAt, base::BootTime now)
 {
-    if (reach.connectedAt >= begunAt)
+    if (reach.connectedAt >= begunAt || reach.isLost)
         return;
-    if (!reach.isLost)
-        reach.lostAt = now;
     reach.isLost = true;
-    ++reach.failedChecks;
+    reach.lostAt = now;
 }
 
-// Whether replicas that were silent for a moment can't have been the cause.
-inline bool reachLossIsConfirmed(const ReplicaReach& reach, const ReachOptions& options)
+// Whether the last check has just failed, so that this daemon can carry no connection for others. The replicas may be
+// the cause.
+inline bool reachIsFailing(const ReplicaReach& reach, const ReachOptions& options, base::BootTime now)
 {
-    return reach.isLost && reach.failedChecks >= options.checksToConfirm;
+    return reach.isLost || (reach.failedAt > reach.connectedAt && now - reach.failedAt < options.checkInterval);
 }
 
 // Whether a connection that failed calls for a check.
--- a/src/reach/ReplicaRelay.cpp
+++ b/src/reach/ReplicaRelay.cpp
@@ -23,7 +23,35 @@
 using base::LogLevel;
 using Json = nlohmann::json;
 
-// ---- This daemon has lost the replicas ---------------------------------------------------------
+// ---- This daemon may have lost the replicas ---------------------------------------------------------
+
+net::TunnelResult ReplicaDialer::askToCarry(const Relay& relay, const gateway::ReplicaEntry& entry,
+    base::Duration timeLeft, bool isProbe, base::Duration timeout)
+{
+    Json request { { "id", relay.tunnelId }, { "replica", entry.id }, { "start", entry.startedAtMillis },
+        { "left_ms", base::millisOf(timeLeft) }, { "is_probe", isProbe } };
+    return m_hubSync.peers()->openTunnel(
+        relay.address, request, entry.address, m_options.connect, base::Clock::now() + timeout);
+}
+
+// Whether another daemon can connect to one of the replicas.
+bool ReplicaDialer::othersReach(const std::vector<gateway::ReplicaEntry>& targets)
+{
+    std::map<std::string, base::Address> daemons = m_hubSync.peerAddresses();
+    std::vector<std::function<bool()>> tries;
+    while (m_hubSync.peers() && tries.size() < m_options.reach.daemonsAsked) {
+        auto name = relayChoose(daemons, m_relayPauses, BootClock::now(), randomNumber());
+        if (!name)
+            break;
+        Relay relay { *name, daemons.at(*name), base::randomId() };
+        daemons.erase(*name);
+        tries.emplace_back([this, relay, entry = targets[tries.size() % targets.size()]] {
+            base::Millis timeout = m_options.reach.askTimeout;
+            return askToCarry(relay, entry, timeout, true, timeout).connection != nullptr;
+        });
+    }
+    return anySucceeds(std::move(tries));
+}
 
 RelayedConnection ReplicaDialer::openRelayed(const gateway::ReplicaEntry& entry, BootTime deadline)
 {
@@ -34,15 +62,12 @@
     BootTime giveUpAt = std::min(deadline, BootClock::now() + m_options.relay.maxAskTime);
     for (int asked = 0; asked < m_options.relay.maxAsked; ++asked) {
         BootTime now = BootClock::now();
-        auto name = relayChoose(daemons, m_relayPauses, now, base::stableHash(base::randomBytes(sizeof(uint64_t))));
+        auto name = relayChoose(daemons, m_relayPauses, now, randomNumber());
         if (!name || now >= giveUpAt)
             break;
         Relay relay { *name, daemons.at(*name), base::randomId() };
-        Json request { { "id", relay.tunnelId }, { "replica", entry.id }, { "start", entry.startedAtMillis },
-            { "left_ms", std::chrono::duration_cast<base::Millis>(deadline - now).count() } };
         base::Duration timeout = std::min<base::Duration>(m_options.relay.askTimeout, deadline - now);
-        net::TunnelResult opened = m_hubSync.peers()->openTunnel(
-            relay.address, request, entry.address, m_options.connect, base::Clock::now() + timeout);
+        net::TunnelResult opened = askToCarry(relay, entry, deadline - now, false, timeout);
         if (opened.connection) {
             base::counterAdd("relayed_connections_total");
             result.answer = RelayAnswer::Carries;
@@ -97,7 +122,7 @@
     const char* refusal = nullptr;
     if (m_isStopping || !m_mayCarry)
         refusal = relayStoppingReason;
-    else if (m_reach.isLost)
+    else if (reachIsFailing(m_reach, m_options.reach, now))
         refusal = relayLostReason;
     else if (carriedCount() >= m_options.relay.maxCarried)
         refusal = relayFullReason;
@@ -120,8 +145,15 @@
     plan.connect = m_options.connect;
     plan.connectBy = base::Clock::now() + m_options.reach.dialTimeout;
     plan.endsBy = base::Clock::now() + timeLeft + m_options.relay.endMargin;
-    plan.onFailed = [this, address = *plan.server] {
-        return std::string(confirmReach(address) ? relayConnectFailedReason : relayLostReason);
+    bool isProbe = request.value("is_probe", false);
+    plan.onFailed = [this, isProbe, address = *plan.server] {
+        // A daemon that only asks whether the replica is reached waits for no check.
+        if (isProbe)
+            m_loop.spawn([this, address] { confirmReach(address); });
+        else
+            confirmReach(address);
+        bool isFailing = reachIsFailing(m_reach, m_options.reach, BootClock::now());
+        return std::string(isFailing ? relayLostReason : relayConnectFailedReason);
     };
     return plan;
 }
