Count a report's new connection as a sign that replicas are reached

Cause: each failed report began a check of the links, also when its own new connection had just been opened. With one replica that answers reports without end, the hub dialled it again after each report and kept the connection.

Change: new connections of reports are opened by the dialer, which records them, as those of orders and requests are.

--- a/src/models/Placer.cpp
+++ b/src/models/Placer.cpp
@@ -165,13 +165,17 @@
     if (!connection || isLimited(id, *state) || !connection->isReusable())
         connection = m_dialer.create(replica->second.entry.address);
     base::Address address = replica->second.entry.address;
-    net::HttpResult result = net::httpCall(
-        *connection, m_codec.writeReportRequest(), base::Clock::now() + m_options.reportTimeout, maxReportBytes);
+    base::TimePoint deadline = base::Clock::now() + m_options.reportTimeout;
+    net::HttpResult result;
+    if (!connection->isConnected())
+        result.error = m_dialer.connect(*connection, deadline);
+    if (result.error == net::HttpCallError::None)
+        result = net::httpCall(*connection, m_codec.writeReportRequest(), deadline, maxReportBytes);
     state->isReportPending = false;
     std::optional<gateway::ReplicaReport> report;
-    if (result.error != net::HttpCallError::None)
+    if (result.error != net::HttpCallError::None) {
         m_dialer.confirmReach(address);
-    if (result.error == net::HttpCallError::None) {
+    } else {
         m_dialer.recordHeard();
         report = m_codec.readReport(result.response);
         recordLimit(id, *state, result.response, requestedAt, true);
