Failing test: full brittle replicas fall over under load

Cause, by reading: nothing reads Server-Brittle. Each daemon bounds what it sends to a replica by the load that the replica stated last, so twelve of them together are refused more often in a second than a brittle replica bears.

--- a/lab/ReplicaStandIn.h
+++ b/lab/ReplicaStandIn.h
@@ -57,9 +57,11 @@
     int eventsBeforeCrash = 0;
     // A request of a plain replica with one of these bodies crashes it when it is processed.
     std::set<std::string> crashingBodies {};
-    std::vector<std::string> namedLimits {};     // values of the Server-Limit headers of its responses
-    int namesLimitEveryNth = 1;                  // responses between two that carry them
-    bool namesLimitInReports = false;            // also in the answers to reports
+    std::vector<std::string> namedLimits {}; // values of the Server-Limit headers of its responses
+    int namesLimitEveryNth = 1;              // responses between two that carry them
+    bool namesLimitInReports = false;        // also in the answers to reports
+    int maxRunning = 0;                      // requests beyond them get 503 with Not-Executed; 0: no limit
+    int brittleRefusals = 0; // it says so, and ends after more of them in a second for want of room; 0: not brittle
     std::optional<base::TimePoint> coldUntil {}; // its entries and, if set, its responses tell the time left
     bool saysColdInResponses = false;
     int saysLeavingEveryNth = 0;            // of its responses to requests; 0: none
--- a/lab/ReplicaStandInImpl.h
+++ b/lab/ReplicaStandInImpl.h
@@ -24,6 +24,7 @@
     int64_t ordersAccepted = 0;
     int64_t highestFencingToken = 0;
     int runningRequests = 0;
+    std::vector<base::TimePoint> refusedAt; // of a brittle replica: for want of room, within a second
     int responseCount = 0;
     int statementCount = 0;
     int64_t entrySequence = 0;                 // of the entries that this process has written
@@ -104,8 +105,21 @@
         return {};
     }
 
+    // Of a brittle replica: whether one refusal more, for want of room, is too many in a second.
+    bool endsByRefusal()
+    {
+        if (!faults.brittleRefusals)
+            return false;
+        base::TimePoint now = base::Clock::now();
+        refusedAt.push_back(now);
+        std::erase_if(refusedAt, [now](base::TimePoint at) { return now - at >= base::Seconds(1); });
+        return refusedAt.size() > static_cast<size_t>(faults.brittleRefusals);
+    }
+
     ReplicaFault nextFault()
     {
+        if (faults.maxRunning && runningRequests >= faults.maxRunning)
+            return ReplicaFault::Refuse;
         if (faults.remainingRequests == 0)
             return ReplicaFault::None;
         if (faults.remainingRequests > 0)
@@ -147,6 +161,8 @@
     std::vector<net::HttpHeader> statementHeaders(const std::string& requestId, bool isRefusal)
     {
         std::vector<net::HttpHeader> headers;
+        if (faults.brittleRefusals)
+            headers.push_back({ "Server-Brittle", std::to_string(faults.brittleRefusals) });
         ReplicaArrival* arrival = arrivalOf(requestId);
         if (faults.saysLeavingEveryNth && ++statementCount % faults.saysLeavingEveryNth == 0) {
             headers.push_back({ "Server-Leaving", "1" });
@@ -202,6 +218,8 @@
             headers.push_back({ "Not-Executed", "1" });
             headers.push_back({ "Request-Id", id });
             exchange.respond({ 503, headers, "" });
+            if (endsByRefusal())
+                crash("");
             return;
         }
         size_t executionIndex = history.executions.size();
--- a/tests/ServerLimitTests.cpp
+++ b/tests/ServerLimitTests.cpp
@@ -211,3 +211,29 @@
     }
     cr_expect_not(readLimits({}).isNamed);
 }
+
+// Guards against brittle replicas that fall over because all gateways together are refused too often: the users' rule
+// allows two falls and a tenth of the replicas.
+Test(server_limit, brittle_replicas_that_are_full_do_not_fall_over, .timeout = 60)
+{
+    runOnLoop([](net::Loop& loop) {
+        constexpr int replicaCount = 4;
+        constexpr int slots = 8;
+        LimitFixture fixture(loop, 12, replicaCount, 0);
+        for (ReplicaStandIn* replica : fixture.plain) {
+            replica->setProcessingTime(base::Millis(200)); // together they serve 160 a second
+            replica->faults().brittleRefusals = 6;         // there is room until they let none wait
+        }
+        for (int i = 0; i < 2; ++i)
+            fixture.startSending("/safe/", "", base::Millis(5)); // about 200 a second together
+        net::sleepFor(limitContactTime);
+        for (ReplicaStandIn* replica : fixture.plain)
+            replica->faults().maxRunning = slots;
+        net::sleepFor(base::Seconds(10));
+        size_t falls = 0;
+        for (ReplicaStandIn* replica : fixture.plain)
+            falls += replica->history().crashes.size();
+        cr_expect_leq(falls, 2 + replicaCount / 10, "%zu falls", falls);
+        fixture.stopSending();
+    });
+}
