Test callers on open connections where all gateways but one lose the replicas

Change: callers of the replica link tests may use their connections again; two cases more, with five of six gateways cut off.

--- a/tests/ReplicaLinkFixture.h
+++ b/tests/ReplicaLinkFixture.h
@@ -26,6 +26,8 @@
     TryCount cutTries;
     TryCount otherTries;
     int callersLeft = 0;
+    bool keepsConnections = false; // callers use their open connections again
+    std::map<lab::LabGateway*, std::vector<std::unique_ptr<net::HttpConnection>>> openConnections;
 
     ReplicaLinkFixture(net::Loop& testLoop, size_t gatewayCount)
         : loop(testLoop)
@@ -101,11 +103,21 @@
         constexpr const char* models[] = { "", "", "m1", "m2" };
         bool isCut = std::find(cutGateways.begin(), cutGateways.end(), &gateway) != cutGateways.end();
         size_t kind = static_cast<size_t>(number) % 4;
-        lab::CallerResponse response
-            = fleet.call(gateway, lab::labRequest(paths[kind], requestId(number), models[kind]));
+        auto& open = openConnections[&gateway];
+        std::unique_ptr<net::HttpConnection> connection;
+        if (open.empty()) {
+            connection = net::HttpConnection::create(loop, gateway.gateway.address());
+        } else {
+            connection = std::move(open.back());
+            open.pop_back();
+        }
+        net::HttpResult result = net::httpCall(*connection,
+            lab::labRequest(paths[kind], requestId(number), models[kind]), base::Clock::now() + base::Seconds(8));
         TryCount& count = isCut ? cutTries : otherTries;
         ++count.tries;
-        count.served += response.status == 200 && response.error == net::HttpCallError::None;
+        count.served += result.response.status == 200 && result.error == net::HttpCallError::None;
+        if (keepsConnections && connection->isReusable())
+            open.push_back(std::move(connection));
         --callersLeft;
     }
 };
--- a/tests/ReplicaLinkTests.cpp
+++ b/tests/ReplicaLinkTests.cpp
@@ -12,6 +12,7 @@
     size_t gatewayCount;
     size_t cutCount;
     bool isHubCut;
+    bool keepsConnections = false; // the callers' ones
 };
 
 // The users' rule: from contactTime after the cut, first tries at the gateways that were cut off are served at least
@@ -20,6 +21,7 @@
 {
     tests::runOnLoop([&](net::Loop& loop) {
         ReplicaLinkFixture fixture(loop, cut.gatewayCount);
+        fixture.keepsConnections = cut.keepsConnections;
         fixture.callAll(base::Millis(1000));
         cr_assert_geq(fixture.otherTries.servedShare(), 0.99);
         fixture.cut(cut.how, cut.cutCount, cut.isHubCut);
@@ -74,6 +76,16 @@
     expectCallersServed({ LinkCut::Hang, 6, 4, true });
 }
 
+Test(replica_links, callers_are_served_on_open_connections_where_all_gateways_but_one_are_reset, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::Reset, 6, 5, true, true });
+}
+
+Test(replica_links, callers_are_served_on_open_connections_where_all_gateways_but_one_hang, .timeout = 60)
+{
+    expectCallersServed({ LinkCut::Hang, 6, 5, true, true });
+}
+
 Test(replica_links, a_hub_that_reaches_no_replica_hands_over, .timeout = 60)
 {
     tests::runOnLoop([](net::Loop& loop) {
