Test services that answer early or with an invalid status

Change: serve gets the cases that gateway has: an answer without a length whose connection is reset while the request's body is written, and status lines outside 100 to 599.

--- a/tests/EarlyAnswerTests.cpp
+++ b/tests/EarlyAnswerTests.cpp
@@ -5,6 +5,7 @@
 
 #include "ByteStandIn.h"
 #include "GatewayFixture.h"
+#include "ServeFixtures.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::lab;
@@ -19,6 +20,7 @@
     struct State {
         Tcp::acceptor acceptor;
         base::Millis resetAfter;
+        int answerCount = 0;
     };
 
     std::shared_ptr<State> state;
@@ -45,17 +47,19 @@
         state->acceptor.close(ignored);
     }
 
-    static void serve(const State& state, Tcp::socket& socket)
+    static void serve(State& state, Tcp::socket& socket)
     {
         std::string head;
         if (net::awaitIo([&](auto handler) {
                 asio::async_read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", std::move(handler));
             }).error)
             return;
-        size_t at = head.find("Request-Id: ");
-        std::string id = at == std::string::npos ? "" : head.substr(at, head.find("\r\n", at) - at) + "\r\n";
+        size_t at = head.find("Request-Id: "); // or X-Request-Id
+        size_t lineAt = head.rfind("\r\n", at) + 2;
+        std::string id = at == std::string::npos ? "" : head.substr(lineAt, head.find("\r\n", at) - lineAt) + "\r\n";
         std::string part = "HTTP/1.1 200 OK\r\nServer-Seal: seal\r\n" + id + "\r\na part of an answer";
         net::awaitIo([&](auto handler) { asio::async_write(socket, asio::buffer(part), std::move(handler)); });
+        ++state.answerCount;
         net::sleepFor(state.resetAfter);
         net::ErrorCode ignored;
         socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -113,3 +117,34 @@
 {
     expectNoCompleteAnswer(true);
 }
+
+Test(early_answer, a_part_of_a_services_answer_is_not_complete_if_the_connection_is_reset, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        tests::ServiceFixture fixture(loop, [](ByteConnection& connection, const net::HttpRequest& request) {
+            connection.send(
+                tests::serviceResponse(std::string(net::httpHeader(request.headers, "X-Request-Id")), true));
+        });
+        int boot = 1;
+        for (int resetAfterMs : { 0, 20, 200 }) {
+            EarlyReplica service(loop, base::Millis(resetAfterMs));
+            fixture.list(service.address(), fmt::format("boot-{}", ++boot));
+            cr_assert(fixture.fleet.waitUntil(
+                [&] {
+                    fixture.call("/once", "listed");
+                    return service.state->answerCount > 0;
+                },
+                base::Seconds(5)));
+            for (size_t bodyBytes : { 100, 30000, 900000 }) {
+                for (int i = 0; i < 5; ++i) {
+                    net::HttpResult result
+                        = fixture.call("/once", fmt::format("id-{}-{}", bodyBytes, i), std::string(bodyBytes, 'x'));
+                    cr_expect(result.error != net::HttpCallError::None || result.response.status >= 500,
+                        "reset after %d ms, body of %zu bytes: status %d, body %s", resetAfterMs, bodyBytes,
+                        result.response.status, result.response.body.c_str());
+                }
+            }
+            service.stop();
+        }
+    });
+}
--- a/tests/InvalidStatusTests.cpp
+++ b/tests/InvalidStatusTests.cpp
@@ -1,5 +1,6 @@
 // Status lines that are no status of HTTP: no answer, and no evidence that a request has not been executed.
 #include "ByteFleet.h"
+#include "ServeFixtures.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::lab;
@@ -56,3 +57,27 @@
         }
     });
 }
+
+Test(invalid_status, the_outcome_of_a_call_to_a_service_is_unknown, .timeout = 60)
+{
+    tests::runOnLoop([](net::Loop& loop) {
+        std::string status = "200";
+        int runs = 0;
+        tests::ServiceFixture fixture(loop, [&](ByteConnection& connection, const net::HttpRequest& request) {
+            ++runs;
+            connection.send(fmt::format("HTTP/1.1 {} Status\r\nX-Request-Id: {}\r\nX-Not-Executed: 1\r\n"
+                                        "Content-Length: 2\r\n\r\nok",
+                status, net::httpHeader(request.headers, "X-Request-Id")));
+        });
+        for (const char* nextStatus : invalidStatuses) {
+            status = nextStatus;
+            runs = 0;
+            net::HttpResult result = fixture.call("/once", fmt::format("once-{}", nextStatus));
+            cr_expect_geq(result.response.status, 500, "status \"%s\": %d", nextStatus, result.response.status);
+            cr_expect_lt(result.response.status, 600, "status \"%s\": %d", nextStatus, result.response.status);
+            cr_expect_str_eq(std::string(net::httpHeader(result.response.headers, "X-Outcome")).c_str(), "unknown",
+                "status \"%s\"", nextStatus);
+            cr_expect_eq(runs, 1, "status \"%s\": %d runs", nextStatus, runs);
+        }
+    });
+}
--- a/tests/ServeFixtures.h
+++ b/tests/ServeFixtures.h
@@ -26,10 +26,7 @@
         std::string error;
         cr_assert(service.listen(error), "%s", error.c_str());
         cr_assert(fleet.start());
-        coordination::Instance instance { "ledger-1", "ledger", service.address(), "dc-1", "boot-1",
-            coordination::InstanceState::Live, 0, false };
-        send(fleet.standInAddresses().at("platform"),
-            { "PUT", "/instances", {}, coordination::instanceToJson(instance).dump() }, base::Seconds(5));
+        list(service.address(), "boot-1");
         fleet.adminCall("d1", "PUT", "/api/v1/service/ledger", { { "pool", "ledger" } });
         fleet.adminCall("d1", "PUT", "/api/v1/route/again",
             { { "prefix", "/again" }, { "service", "ledger" }, { "open", true }, { "repeatable", true } });
@@ -54,15 +51,23 @@
         plan.platform.listLag = base::Millis(20);
         return plan;
     }
+    // Lists the service at an address.
+    void list(const base::Address& address, const std::string& boot)
+    {
+        coordination::Instance instance { "ledger-1", "ledger", address, "dc-1", boot,
+            coordination::InstanceState::Live, 0, false };
+        send(fleet.standInAddresses().at("platform"),
+            { "PUT", "/instances", {}, coordination::instanceToJson(instance).dump() }, base::Seconds(5));
+    }
     net::HttpResult send(const base::Address& address, net::HttpRequest request, base::Duration limit)
     {
         auto connection = net::HttpConnection::create(loop, address);
         return net::httpCall(*connection, request, base::Clock::now() + limit);
     }
-    net::HttpResult call(const std::string& path, const std::string& id)
+    net::HttpResult call(const std::string& path, const std::string& id, const std::string& body = "{}")
     {
         net::HttpRequest request { "POST", path,
-            { { "X-Request-Id", id }, { "X-Deadline-Ms", std::to_string(routeTimeLeft.count()) } }, "{}" };
+            { { "X-Request-Id", id }, { "X-Deadline-Ms", std::to_string(routeTimeLeft.count()) } }, body };
         return send(fleet.addresses("d1").client, request, base::Seconds(8));
     }
 };
