--- a/src/hub/HubSyncElection.cpp
+++ b/src/hub/HubSyncElection.cpp
@@ -180,7 +180,7 @@
         return;
     int64_t lease = m_term.lease;
     resign("no replica is reached");
-    m_loop.spawn([this, lease] { m_kv.leaseRevoke(lease); });
+    m_loop.spawn([this, lease] { m_kv.leaseRevoke(lease); }); // if that fails, it expires
 }
 
 void HubSync::renewLoop()
--- a/src/net/PeerNetwork.cpp
+++ b/src/net/PeerNetwork.cpp
@@ -106,7 +106,10 @@
         base::Address dialled = plan.connect.dialAddress ? plan.connect.dialAddress(*plan.server) : *plan.server;
         ErrorCode code;
         Tcp::endpoint endpoint(asio::ip::make_address(dialled.ip, code), dialled.port);
-        server.open(endpoint.protocol(), code);
+        if (!code)
+            server.open(endpoint.protocol(), code);
+        if (code)
+            return false;
         if (plan.connect.receiveBufferBytes)
             server.set_option(
                 asio::socket_base::receive_buffer_size(static_cast<int>(plan.connect.receiveBufferBytes)), code);
