--- a/tests/EarlyAnswerTests.cpp
+++ b/tests/EarlyAnswerTests.cpp
@@ -3,8 +3,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
-#include "ByteStandIn.h"
-#include "GatewayFixture.h"
+#include "CutOffGateway.h"
 #include "ServeFixtures.h"
 
 using namespace rattanshunt;
@@ -73,27 +72,12 @@
         for (int resetAfterMs : { 0, 20, 200 }) {
             EarlyReplica replica(loop, base::Millis(resetAfterMs));
             EarlyReplica other(loop, base::Millis(resetAfterMs));
-            GatewayFleet fleet(loop);
-            fleet.hasReplicaLinks = isRelayed;
-            fleet.configure(labConfiguration(1));
-            fleet.store().put("servers/i-0", byteReplicaEntry("plain", replica.address()));
-            fleet.store().put("servers/i-1", byteReplicaEntry("plain", other.address()));
-            LabGateway& gateway = fleet.addGateway("g0");
-            LabGateway& second = fleet.addGateway("g1");
-            cr_assert(fleet.waitReady());
-            while (gateway.hubSync.directory().replicas.size() < 2 || second.hubSync.directory().replicas.size() < 2
-                || gateway.hubSync.peerAddresses().empty())
-                net::sleepFor(base::Millis(10));
-            if (isRelayed) {
-                gateway.replicaLinks->setCut(LinkCut::Reset);
-                gateway.dialer.confirmReach({});
-                cr_assert(gateway.dialer.hasLostReplicas());
-            }
+            tests::CutOffGateway gateways(loop, replica.address(), other.address(), isRelayed);
             for (size_t bodyBytes : { 100, 30000, 900000 }) {
                 for (int i = 0; i < 5; ++i) {
                     net::HttpRequest request = labRequest("/once/", fmt::format("id-{}-{}", bodyBytes, i));
                     request.body = std::string(bodyBytes, 'x');
-                    CallerResponse response = fleet.call(gateway, request);
+                    CallerResponse response = gateways.fleet.call(*gateways.cutOff, request);
                     cr_expect(response.error != net::HttpCallError::None || response.status == 502,
                         "relayed %d, reset after %d ms, body of %zu bytes: status %d, body %s", isRelayed, resetAfterMs,
                         bodyBytes, response.status, response.body.c_str());
@@ -101,7 +85,6 @@
             }
             replica.stop();
             other.stop();
-            fleet.stop();
         }
     });
 }
--- a/tests/RelayedConnectionTests.cpp
+++ b/tests/RelayedConnectionTests.cpp
@@ -1,51 +1,37 @@
 // Connections to replicas that another gateway carries, as this one has lost its links to all replicas.
-#include "ByteStandIn.h"
-#include "GatewayFixture.h"
+#include "CutOffGateway.h"
 
 using namespace rattanshunt;
 using namespace rattanshunt::lab;
 
 namespace {
 
-// Two gateways, of which the first is cut off from the replicas of the service "plain": one that answers as `script`
-// says, and one that is not to be reached.
+// Replicas that answer as `script` says, behind a gateway that is cut off and one that carries its connections.
 struct RelayFleet {
     net::Loop& loop;
-    GatewayFleet fleet;
     ByteStandIn replica;
     ByteStandIn other;
-    LabGateway* cutOff = nullptr;
-    LabGateway* relay = nullptr;
+    std::optional<tests::CutOffGateway> gateways;
 
-    RelayFleet(net::Loop& testLoop, ByteScript script)
+    RelayFleet(net::Loop& testLoop, const ByteScript& script)
         : loop(testLoop)
-        , fleet(testLoop)
         , replica(testLoop, script)
         , other(testLoop, script)
     {
-        fleet.hasReplicaLinks = true;
-        fleet.configure(labConfiguration(1));
         std::string error;
-        cr_assert(replica.listen(error), "%s", error.c_str());
-        cr_assert(other.listen(error), "%s", error.c_str());
-        fleet.store().put("servers/i-0", byteReplicaEntry("plain", replica.address()));
-        fleet.store().put("servers/i-1", byteReplicaEntry("plain", other.address()));
-        cutOff = &fleet.addGateway("g0");
-        relay = &fleet.addGateway("g1");
-        cr_assert(fleet.waitReady());
-        while (cutOff->hubSync.directory().replicas.size() < 2 || relay->hubSync.directory().replicas.size() < 2
-            || cutOff->hubSync.peerAddresses().empty())
-            net::sleepFor(base::Millis(10));
-        cutOff->replicaLinks->setCut(LinkCut::Reset);
-        cutOff->dialer.confirmReach({});
-        cr_assert(cutOff->dialer.hasLostReplicas());
+        cr_assert(replica.listen(error) && other.listen(error), "%s", error.c_str());
+        gateways.emplace(testLoop, replica.address(), other.address());
     }
     ~RelayFleet()
     {
         replica.stop();
         other.stop();
-        fleet.stop();
     }
+    CallerResponse call(const std::string& path, const std::string& id, base::Millis limit = base::Millis(8000))
+    {
+        return gateways->fleet.call(*gateways->cutOff, labRequest(path, id), limit);
+    }
+    size_t requestCount() const { return replica.requestTargets().size() + other.requestTargets().size(); }
 };
 
 std::string headWithoutLength(const net::HttpRequest& request)
@@ -75,9 +61,9 @@
                 while (!*sentCount)
                     net::sleepFor(base::Millis(10));
                 net::sleepFor(base::Millis(50));
-                fixture.fleet.kill(*fixture.relay);
+                fixture.gateways->fleet.kill(*fixture.gateways->relay);
             });
-        CallerResponse response = fixture.fleet.call(*fixture.cutOff, labRequest("/once/", "id-1"));
+        CallerResponse response = fixture.call("/once/", "id-1");
         cr_expect_eq(response.status, status, "status %d", response.status);
         cr_expect_eq(*sentCount, 1);
     });
@@ -111,12 +97,12 @@
             *endedAt = base::Clock::now();
         });
         base::TimePoint leftAt = base::Clock::now() + base::Millis(500);
-        fixture.fleet.call(*fixture.cutOff, labRequest("/once/", "id-1"), base::Millis(500));
+        fixture.call("/once/", "id-1", base::Millis(500));
         while (!*endedAt && base::Clock::now() < leftAt + base::Seconds(3))
             net::sleepFor(base::Millis(10));
         cr_assert(*endedAt);
         cr_expect_lt(**endedAt - leftAt, base::Millis(500));
-        cr_expect_eq(fixture.relay->dialer.carriedCount(), 0);
+        cr_expect_eq(fixture.gateways->relay->dialer.carriedCount(), 0);
     });
 }
 
@@ -129,14 +115,14 @@
                 net::httpHeader(request.headers, "Request-Id")));
         });
         for (int i = 0; i < 2; ++i)
-            cr_expect_eq(
-                fixture.fleet.call(*fixture.cutOff, labRequest("/safe/", fmt::format("id-{}", i))).status, 200);
+            cr_expect_eq(fixture.call("/safe/", fmt::format("id-{}", i)).status, 200);
         net::sleepFor(base::Millis(200));
-        size_t before = fixture.replica.requestTargets().size() + fixture.other.requestTargets().size();
+        size_t before = fixture.requestCount();
         cr_expect_eq(before, 2);
-        CallerResponse response = fixture.fleet.call(*fixture.relay, labRequest("/safe/", "id-9"), base::Millis(1000));
+        CallerResponse response
+            = fixture.gateways->fleet.call(*fixture.gateways->relay, labRequest("/safe/", "id-9"), base::Millis(1000));
         cr_expect(response.error != net::HttpCallError::None || response.status == 503);
-        cr_expect_eq(fixture.replica.requestTargets().size() + fixture.other.requestTargets().size(), before);
+        cr_expect_eq(fixture.requestCount(), before);
     });
 }
 
@@ -147,15 +133,15 @@
             connection.send(headWithoutLength(request));
             connection.close();
         });
-        fixture.relay->replicaLinks->setCut(LinkCut::Hang);
+        fixture.gateways->relay->replicaLinks->setCut(LinkCut::Hang);
         base::TimePoint calledAt = base::Clock::now();
-        CallerResponse response = fixture.fleet.call(*fixture.cutOff, labRequest("/once/", "id-1"));
+        CallerResponse response = fixture.call("/once/", "id-1");
         cr_expect_eq(response.status, 503, "status %d", response.status);
         cr_expect(!net::httpHeader(response.headers, "Retry-After").empty());
         cr_expect_lt(base::Clock::now() - calledAt, base::Millis(1500));
-        cr_expect_eq(fixture.replica.requestTargets().size() + fixture.other.requestTargets().size(), 0);
+        cr_expect_eq(fixture.requestCount(), 0);
         calledAt = base::Clock::now();
-        cr_expect_eq(fixture.fleet.call(*fixture.cutOff, labRequest("/once/", "id-2")).status, 503);
+        cr_expect_eq(fixture.call("/once/", "id-2").status, 503);
         cr_expect_lt(base::Clock::now() - calledAt, base::Millis(300), "what can't be served is refused at once");
     });
 }
